--- /dev/null
+++ b/corneltrack-control/src/main/kotlin/corneltrack/control/Commands.kt
@@ -0,0 +1,210 @@
+package corneltrack.control
+
+import corneltrack.wire.prettyJson
+import corneltrack.world.AgreementException
+import corneltrack.world.BringBack
+import corneltrack.world.Change
+import corneltrack.world.MemberState
+import corneltrack.world.Pool
+import corneltrack.world.PutPool
+import corneltrack.world.PutWorkspace
+import corneltrack.world.RemoveException
+import corneltrack.world.SetDefault
+import corneltrack.world.SetException
+import corneltrack.world.TakeOut
+import corneltrack.world.Target
+import corneltrack.world.TargetKind
+import corneltrack.world.Terms
+import corneltrack.world.Verdict
+import corneltrack.world.Workspace
+import corneltrack.world.WorkspaceId
+import kotlinx.cli.ArgType
+import kotlinx.cli.default
+import kotlinx.cli.multiple
+import kotlinx.cli.required
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.encodeToString
+import kotlinx.serialization.json.Json
+
+/** How a command writes its result. */
+internal enum class OutputForm { TEXT, JSON }
+
+/** What a command works with. */
+internal class CommandContext(
+    val operator: Operator,
+    val output: OutputForm,
+    val inForceTimeoutMs: Long,
+    val clock: () -> Long,
+    val timeOfDay: () -> Long,
+    val print: (String) -> Unit,
+)
+
+/** Reports a change that has been accepted. */
+@Serializable
+internal data class ChangeReport(
+    val changeId: String,
+    val offset: Long,
+    val subject: String,
+    val before: String,
+    val after: String,
+    val acceptedMs: Long,
+    val inForceMs: Long?,
+    val notInForce: List<String>,
+)
+
+/** Does one thing for an operator. */
+internal abstract class OperatorCommand(name: String, help: String) : kotlinx.cli.Subcommand(name, help) {
+    /** Whether the command was named on the command line. */
+    var named: Boolean = false
+        private set
+
+    override fun execute() {
+        named = true
+    }
+
+    abstract fun run(context: CommandContext)
+}
+
+/** Makes one change and waits until it is in force. */
+internal abstract class ChangeCommand(name: String, help: String) : OperatorCommand(name, help) {
+    private val why by option(ArgType.String, "why", "w", "Why the change is made, for the audit trail").default("")
+
+    abstract fun change(): Change
+
+    open fun reason(): String = why
+
+    override fun run(context: CommandContext) {
+        val beganMs = context.clock()
+        val entry = context.operator.apply(change(), reason(), context.timeOfDay())
+        val acceptedMs = context.clock() - beganMs
+        if (entry.verdict == Verdict.LOST_RACE) {
+            throw CommandFailure(ExitCode.LOST_RACE, "Another change of ${entry.record.change.subject} came first.")
+        }
+        if (entry.verdict == Verdict.INVALID) {
+            throw CommandFailure(ExitCode.USAGE, entry.findings.joinToString("\n"))
+        }
+        val behind = context.operator.awaitInForce(entry.offset, context.inForceTimeoutMs, context.clock)
+        val names = behind.map { it.instance.id.value }
+        val inForceMs = (context.clock() - beganMs).takeIf { behind.isEmpty() }
+        val report = ChangeReport(
+            entry.record.changeId,
+            entry.offset,
+            entry.record.change.subject,
+            entry.before,
+            entry.after,
+            acceptedMs,
+            inForceMs,
+            names,
+        )
+        context.write(report) { it.text() }
+        if (behind.isNotEmpty()) {
+            throw CommandFailure(ExitCode.NOT_IN_FORCE, "Accepted, but not yet in force on: ${names.joinToString()}.")
+        }
+    }
+}
+
+private fun ChangeReport.text(): String = listOfNotNull(
+    "accepted: $subject at offset $offset after $acceptedMs ms",
+    inForceMs?.let { "in force on every listed router after $it ms" },
+    "before: $before",
+    "after:  $after",
+).joinToString("\n")
+
+internal inline fun <reified T> CommandContext.write(value: T, text: (T) -> String) =
+    print(if (output == OutputForm.JSON) prettyJson.encodeToString(value) else text(value))
+
+internal class SetDefaultCommand : ChangeCommand("set-default", "Replace the fleet-wide default") {
+    private val weight by option(ArgType.Double, "weight", description = "Share relative to others").required()
+    private val cap by option(ArgType.Double, "cap", description = "Largest fraction of a cell, 0 to 1").required()
+    private val waiting by option(ArgType.Int, "waiting-limit", description = "Most waiting requests").required()
+
+    override fun change(): Change = SetDefault(Terms(weight, cap, waiting))
+}
+
+internal class SetExceptionCommand : ChangeCommand("set-exception", "Make an exception for one workspace") {
+    private val workspace by argument(ArgType.String, "workspace", "The workspace")
+    private val weight by option(ArgType.Double, "weight", description = "Share relative to others").required()
+    private val cap by option(ArgType.Double, "cap", description = "Largest fraction of a cell, 0 to 1").required()
+    private val waiting by option(ArgType.Int, "waiting-limit", description = "Most waiting requests").required()
+    private val reason by option(ArgType.String, "reason", description = "The written reason").required()
+
+    override fun change(): Change =
+        SetException(AgreementException(WorkspaceId(workspace), Terms(weight, cap, waiting), reason))
+
+    override fun reason(): String = reason
+}
+
+internal class RemoveExceptionCommand : ChangeCommand("remove-exception", "Let the default hold again") {
+    private val workspace by argument(ArgType.String, "workspace", "The workspace")
+
+    override fun change(): Change = RemoveException(WorkspaceId(workspace))
+}
+
+internal class PutWorkspaceCommand : ChangeCommand("put-workspace", "Add or replace a workspace") {
+    private val workspace by argument(ArgType.String, "workspace", "The workspace")
+    private val hashes by option(ArgType.String, "key-hash", description = "SHA-256 of an API key, hexadecimal")
+        .multiple()
+
+    override fun change(): Change = PutWorkspace(Workspace(WorkspaceId(workspace), hashes.toSet()))
+}
+
+internal class PutPoolCommand : ChangeCommand("put-pool", "Add or replace a pool") {
+    private val pool by argument(ArgType.String, "pool", "The pool as a JSON object")
+
+    override fun change(): Change =
+        try {
+            PutPool(Json.decodeFromString<Pool>(pool))
+        } catch (fault: SerializationException) {
+            throw CommandFailure(ExitCode.USAGE, "pool: ${fault.message.orEmpty().lineSequence().first()}", fault)
+        }
+}
+
+internal class ServiceCommand(name: String, help: String, private val make: (Target) -> Change) :
+    ChangeCommand(name, help) {
+    private val kind by argument(
+        ArgType.Choice<TargetKind>({ TargetKind.valueOf(it.uppercase().replace('-', '_')) }, {
+            it.name.lowercase().replace('_', '-')
+        }),
+        "kind",
+        "data-centre, instance or endpoint",
+    )
+    private val id by argument(ArgType.String, "id", "Its name")
+
+    override fun change(): Change = make(Target(kind, id))
+}
+
+internal fun takeOutCommand(): ServiceCommand = ServiceCommand("take-out", "Take something out of service") {
+    TakeOut(it)
+}
+
+internal fun bringBackCommand(): ServiceCommand = ServiceCommand("bring-back", "Bring it back") { BringBack(it) }
+
+internal class ShowCommand : OperatorCommand("show", "Show the agreement, workspaces and pools") {
+    override fun run(context: CommandContext) {
+        val configuration = context.operator.configuration().copy(history = emptyList())
+        context.print(prettyJson.encodeToString(configuration))
+    }
+}
+
+internal class StatusCommand : OperatorCommand("status", "Show the fleet at a glance") {
+    override fun run(context: CommandContext) {
+        val leaving = context.operator.fleet().endpoints
+            .filter { it.state == MemberState.LEAVING }
+            .groupingBy { it.cell.toString() }
+            .eachCount()
+        val report = fleetReport(context.operator.configuration(), context.operator.statuses(), leaving)
+        context.write(report) { it.text() }
+    }
+}
+
+internal class AuditCommand : OperatorCommand("audit", "Show who changed what, when and why") {
+    private val last by option(ArgType.Int, "last", "n", "How many changes to show").default(DEFAULT_ENTRIES)
+
+    override fun run(context: CommandContext) {
+        val entries = context.operator.configuration().history.takeLast(last)
+        context.write(entries) { it.text() }
+    }
+}
+
+private const val DEFAULT_ENTRIES = 20
--- /dev/null
+++ b/corneltrack-control/src/main/kotlin/corneltrack/control/ExitCode.kt
@@ -0,0 +1,36 @@
+package corneltrack.control
+
+/** The exit codes of the operators' command. */
+internal enum class ExitCode(val code: Int) {
+    /** The command did what it was asked. */
+    DONE(CODE_DONE),
+
+    /** The platform or a router did not answer; nothing was changed. */
+    UNAVAILABLE(CODE_UNAVAILABLE),
+
+    /** The command, its settings or a value is wrong; nothing was changed. */
+    USAGE(CODE_USAGE),
+
+    /** Another operator's change came first; nothing was changed. */
+    LOST_RACE(CODE_LOST_RACE),
+
+    /** Whether the change was made could not be found out. */
+    UNKNOWN(CODE_UNKNOWN),
+
+    /** The change is accepted but not yet in force on every router. */
+    NOT_IN_FORCE(CODE_NOT_IN_FORCE),
+}
+
+private const val CODE_DONE = 0
+private const val CODE_UNAVAILABLE = 1
+private const val CODE_USAGE = 2
+private const val CODE_LOST_RACE = 3
+private const val CODE_UNKNOWN = 4
+private const val CODE_NOT_IN_FORCE = 5
+
+/** Ends the command with [exit] and a message for the operator. */
+internal class CommandFailure(
+    val exit: ExitCode,
+    message: String,
+    cause: Throwable? = null,
+) : Exception(message, cause)
--- /dev/null
+++ b/corneltrack-control/src/main/kotlin/corneltrack/control/Main.kt
@@ -0,0 +1,62 @@
+package corneltrack.control
+
+import corneltrack.wire.ControlClient
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ArgType
+import kotlinx.cli.default
+import java.util.concurrent.TimeUnit
+import kotlin.system.exitProcess
+
+private const val DEFAULT_IN_FORCE_TIMEOUT_MS = 10_000
+
+/** Runs one operators' command and exits with its code. */
+public fun main(arguments: Array<String>) {
+    val code = try {
+        runCommand(arguments)
+        ExitCode.DONE
+    } catch (failure: CommandFailure) {
+        System.err.println(failure.message)
+        failure.exit
+    }
+    exitProcess(code.code)
+}
+
+private fun runCommand(arguments: Array<String>) {
+    val parser = ArgParser("corneltrackctl")
+    val file by parser.option(ArgType.String, "settings", "s", "JSON file with the operator's settings")
+        .default(System.getenv("CORNELTRACKCTL_SETTINGS") ?: "corneltrackctl.json")
+    val output by parser.option(ArgType.Choice<OutputForm>(), "output", "o", "How to write the result")
+        .default(OutputForm.TEXT)
+    val timeout by parser.option(ArgType.Int, "in-force-timeout-ms", description = "How long to wait, in ms")
+        .default(DEFAULT_IN_FORCE_TIMEOUT_MS)
+    val commands = allCommands()
+    commands.forEach { parser.subcommands(it) }
+    parser.parse(arguments)
+    val command = commands.firstOrNull { it.named }
+        ?: throw CommandFailure(ExitCode.USAGE, "Name a command; 'corneltrackctl --help' lists them.")
+    val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    try {
+        val operator = Operator(readControlSettings(file), ControlClient(group))
+        val clock = { TimeUnit.NANOSECONDS.toMillis(System.nanoTime()) }
+        val context =
+            CommandContext(operator, output, timeout.toLong(), clock, System::currentTimeMillis, ::println)
+        command.run(context)
+    } finally {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS)
+    }
+}
+
+private fun allCommands(): List<OperatorCommand> = listOf(
+    SetDefaultCommand(),
+    SetExceptionCommand(),
+    RemoveExceptionCommand(),
+    PutWorkspaceCommand(),
+    PutPoolCommand(),
+    takeOutCommand(),
+    bringBackCommand(),
+    ShowCommand(),
+    StatusCommand(),
+    AuditCommand(),
+)
--- /dev/null
+++ b/corneltrack-control/src/main/kotlin/corneltrack/control/Operator.kt
@@ -0,0 +1,153 @@
+package corneltrack.control
+
+import corneltrack.wire.AppendResult
+import corneltrack.wire.ControlClient
+import corneltrack.wire.ControlRequest
+import corneltrack.wire.ControlResult
+import corneltrack.wire.FleetListClient
+import corneltrack.wire.LogClient
+import corneltrack.wire.LogPage
+import corneltrack.wire.ReadResult
+import corneltrack.wire.RouterStatus
+import corneltrack.wire.wireJson
+import corneltrack.world.AuditEntry
+import corneltrack.world.Change
+import corneltrack.world.ChangeRecord
+import corneltrack.world.Configuration
+import corneltrack.world.ConfigurationEntry
+import corneltrack.world.FleetList
+import corneltrack.world.FoldResult
+import corneltrack.world.Instance
+import corneltrack.world.StreamEntry
+import corneltrack.world.UnreadableEntry
+import corneltrack.world.findings
+import corneltrack.world.fold
+import io.netty.handler.codec.http.HttpMethod
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.encodeToString
+import java.util.UUID
+import java.util.concurrent.CompletableFuture
+
+private const val STREAM = "configuration"
+private const val READ_BACK_ATTEMPTS = 10
+private const val READ_BACK_PAUSE_MS = 300L
+private const val POLL_MS = 50L
+
+/** The answer of one router to a question for its state; [status] is null where it did not answer. */
+internal data class RouterAnswer(val instance: Instance, val status: RouterStatus?)
+
+/** Reads and changes the fleet's configuration on behalf of one operator. */
+internal class Operator(private val settings: ControlSettings, private val client: ControlClient) {
+    private val log = LogClient(client, settings.log)
+    private val list = FleetListClient(client, settings.instances, "corneltrackctl")
+
+    /** Returns the configuration as of the end of the stream. */
+    fun configuration(): Configuration {
+        var state = Configuration()
+        do {
+            val page = read(state.offset + 1)
+            val before = state.offset
+            state = state.foldPage(page)
+        } while (state.offset + 1 < page.next && state.offset > before)
+        return state
+    }
+
+    /**
+     * Appends [change] and returns how it was judged.
+     *
+     * An append whose answer is lost is looked for in the stream and not made again.
+     */
+    fun apply(change: Change, why: String, nowMs: Long): AuditEntry {
+        val state = configuration()
+        val record = ChangeRecord(UUID.randomUUID().toString(), state.offset, settings.operator, why, nowMs, change)
+        val findings = record.findings(state)
+        if (findings.isNotEmpty()) {
+            throw CommandFailure(ExitCode.USAGE, findings.joinToString("\n"))
+        }
+        append(record)
+        return readBack(record.changeId) ?: throw CommandFailure(
+            ExitCode.UNKNOWN,
+            "The change ${record.changeId} may or may not be in the log; look with 'corneltrackctl audit'.",
+        )
+    }
+
+    private fun append(record: ChangeRecord) {
+        val result = log.append(STREAM, wireJson.encodeToString<ConfigurationEntry>(record)).join()
+        if (result is AppendResult.Refused) {
+            throw CommandFailure(ExitCode.UNAVAILABLE, "Nothing was changed: the log refused. ${result.reason}")
+        }
+    }
+
+    /** Waits until every listed router has applied [offset]. Returns the routers that have not within [timeoutMs]. */
+    fun awaitInForce(offset: Long, timeoutMs: Long, clock: () -> Long): List<RouterAnswer> {
+        val beganMs = clock()
+        while (true) {
+            val behind = statuses().filter { (it.status?.configurationOffset ?: -1) < offset }
+            if (behind.isEmpty() || clock() - beganMs > timeoutMs) {
+                return behind
+            }
+            Thread.sleep(POLL_MS)
+        }
+    }
+
+    /** Asks every listed router for its state. */
+    fun statuses(): List<RouterAnswer> {
+        val request = ControlRequest(HttpMethod.GET, "/status", secret = settings.secret)
+        val asked = fleet().instances.map { instance ->
+            client.send(instance.address, request).thenApply { RouterAnswer(instance, status(it)) }
+        }
+        return asked.map(CompletableFuture<RouterAnswer>::join)
+    }
+
+    /** Returns the instance list. */
+    fun fleet(): FleetList =
+        list.read().join() ?: throw CommandFailure(ExitCode.UNAVAILABLE, "The instance list does not answer.")
+
+    private fun readBack(changeId: String): AuditEntry? {
+        repeat(READ_BACK_ATTEMPTS) {
+            val history = runCatching { configuration() }.getOrNull()?.history.orEmpty()
+            val found = history.lastOrNull { it.record.changeId == changeId }
+            if (found != null) {
+                return found
+            }
+            Thread.sleep(READ_BACK_PAUSE_MS)
+        }
+        return null
+    }
+
+    private fun read(from: Long): LogPage = when (val result = log.read(STREAM, from).join()) {
+        is ReadResult.Page -> result.page
+        is ReadResult.Unavailable ->
+            throw CommandFailure(ExitCode.UNAVAILABLE, "The log does not answer: ${result.reason}")
+    }
+
+    private fun Configuration.foldPage(page: LogPage): Configuration {
+        val entries = page.records.map { StreamEntry(it.offset, decode(it.data)) }
+        return when (val result = fold(entries, page.oldest)) {
+            is FoldResult.Folded -> result.configuration
+            is FoldResult.Gap ->
+                throw CommandFailure(
+                    ExitCode.UNAVAILABLE,
+                    "The log no longer keeps what follows offset ${result.have}."
+                )
+        }
+    }
+
+    private fun decode(data: String): ConfigurationEntry =
+        try {
+            wireJson.decodeFromString<ConfigurationEntry>(data)
+        } catch (_: SerializationException) {
+            UnreadableEntry
+        }
+}
+
+private fun status(result: ControlResult): RouterStatus? =
+    try {
+        (result as? ControlResult.Answered)?.takeIf { it.ok }?.let {
+            wireJson.decodeFromString<RouterStatus>(
+                it.body
+            )
+        }
+    } catch (_: SerializationException) {
+        null
+    }
--- /dev/null
+++ b/corneltrack-control/src/main/kotlin/corneltrack/control/Reports.kt
@@ -0,0 +1,178 @@
+package corneltrack.control
+
+import corneltrack.world.AuditEntry
+import corneltrack.world.Configuration
+import kotlinx.serialization.Serializable
+
+private const val UNLISTED = "-"
+
+/** One router's line in the status output. */
+@Serializable
+internal data class RouterLine(
+    val id: String,
+    val dataCentre: String,
+    val state: String,
+    val ready: Boolean,
+    val configurationOffset: Long?,
+    val behind: Boolean,
+    val openRequests: Int?,
+    val logSilenceMs: Long?,
+    val listSilenceMs: Long?,
+)
+
+/** One cell's line in the status output. */
+@Serializable
+internal data class CellLine(
+    val cell: String,
+    val allocator: String,
+    val supporters: Int,
+    val listed: Int,
+    val limit: Int,
+    val usable: Int,
+    val running: Int,
+    val waiting: Int,
+    val endpoints: Int,
+    val cold: Int,
+    val leaving: Int,
+)
+
+/** One workspace's line in the status output. [due] and [served] are fractions of the pool's total. */
+@Serializable
+internal data class ShareLine(
+    val pool: String,
+    val workspace: String,
+    val waiting: Int,
+    val running: Int,
+    val served: Double,
+    val due: Double,
+)
+
+/** The fleet at a glance. */
+@Serializable
+internal data class FleetReport(
+    val configurationVersion: Long,
+    val configurationOffset: Long,
+    val takenOut: List<String>,
+    val routers: List<RouterLine>,
+    val cells: List<CellLine>,
+    val shares: List<ShareLine>,
+    val quarantined: List<String>,
+)
+
+internal fun fleetReport(
+    configuration: Configuration,
+    answers: List<RouterAnswer>,
+    leaving: Map<String, Int>,
+): FleetReport =
+    FleetReport(
+        configurationVersion = configuration.version,
+        configurationOffset = configuration.offset,
+        takenOut = configuration.takenOut.map { it.toString() }.sorted(),
+        routers = answers.map { it.line(configuration) },
+        cells = answers.flatMap { it.cellLines(leaving) }.sortedBy { it.cell },
+        shares = shareLines(configuration, answers),
+        quarantined = answers.flatMap { it.status?.quarantined.orEmpty() }.distinct().sorted(),
+    )
+
+private fun RouterAnswer.line(configuration: Configuration): RouterLine = RouterLine(
+    id = instance.id.value,
+    dataCentre = instance.dataCentre.value,
+    state = if (status == null) "no answer" else instance.state.name.lowercase(),
+    ready = status?.ready ?: false,
+    configurationOffset = status?.configurationOffset,
+    behind = (status?.configurationOffset ?: -1) < configuration.offset,
+    openRequests = status?.openRequests,
+    logSilenceMs = status?.logSilenceMs,
+    listSilenceMs = status?.listSilenceMs,
+)
+
+private fun RouterAnswer.cellLines(leaving: Map<String, Int>): List<CellLine> =
+    status?.allocates.orEmpty().filter { it.supporters > 0 }.map { cell ->
+        CellLine(
+            cell = cell.cell.toString(),
+            allocator = instance.id.value,
+            supporters = cell.supporters,
+            listed = cell.listed,
+            limit = cell.limits.values.sum(),
+            usable = cell.usable,
+            running = cell.running,
+            waiting = cell.waiting,
+            endpoints = cell.limits.size,
+            cold = cell.cold,
+            leaving = leaving[cell.cell.toString()] ?: 0,
+        )
+    }
+
+private fun shareLines(configuration: Configuration, answers: List<RouterAnswer>): List<ShareLine> {
+    val lines = answers.flatMap { it.status?.workspaces.orEmpty() }
+    return lines.groupBy { it.pool }.toSortedMap().flatMap { (pool, inPool) ->
+        val total = inPool.sumOf { it.served }.coerceAtLeast(1).toDouble()
+        val byWorkspace = inPool.groupBy { it.workspace }
+        val weights = byWorkspace.keys.associateWith { configuration.agreement.termsFor(it).weight }
+        byWorkspace.toSortedMap().map { (workspace, own) ->
+            ShareLine(
+                pool = pool.value,
+                workspace = workspace.value,
+                waiting = own.sumOf { it.waiting },
+                running = own.sumOf { it.running },
+                served = own.sumOf { it.served } / total,
+                due = weights.getValue(workspace) / weights.values.sum(),
+            )
+        }
+    }
+}
+
+internal fun FleetReport.text(): String = buildString {
+    appendLine("configuration: version $configurationVersion, offset $configurationOffset")
+    appendLine("taken out: ${takenOut.ifEmpty { listOf("nothing") }.joinToString()}")
+    appendLine()
+    appendLine(row("ROUTER", "DATA CENTRE", "STATE", "READY", "OFFSET", "OPEN", "LOG MS", "LIST MS"))
+    routers.forEach { appendLine(it.text()) }
+    appendLine()
+    appendLine(row("CELL", "ALLOCATOR", "SUPPORT", "LIMIT", "USABLE", "RUNNING", "WAITING", "COLD/LEAVING"))
+    cells.forEach {
+        val support = "${it.supporters}/${it.listed}"
+        val condition = "${it.cold}/${it.leaving} of ${it.endpoints}"
+        appendLine(row(it.cell, it.allocator, support, it.limit, it.usable, it.running, it.waiting, condition))
+    }
+    appendLine()
+    appendLine(row("POOL", "WORKSPACE", "WAITING", "RUNNING", "SERVED", "DUE"))
+    shares.forEach {
+        appendLine(
+            row(it.pool, it.workspace, it.waiting, it.running, it.served.percent(), it.due.percent())
+        )
+    }
+    if (quarantined.isNotEmpty()) {
+        appendLine()
+        appendLine("quarantined: ${quarantined.joinToString()}")
+    }
+}.trimEnd()
+
+private fun RouterLine.text(): String = row(
+    id,
+    dataCentre,
+    state,
+    ready,
+    configurationOffset.shown() + if (behind) " behind" else "",
+    openRequests.shown(),
+    logSilenceMs.shown(),
+    listSilenceMs.shown(),
+)
+
+internal fun List<AuditEntry>.text(): String = joinToString("\n") { entry ->
+    val record = entry.record
+    val head = "offset=${entry.offset} verdict=${entry.verdict} who=${record.who} at=${java.time.Instant.ofEpochMilli(
+        record.atMs
+    )}"
+    "$head change=${record.change.subject} why=\"${record.why}\"\n  before: ${entry.before}\n  after:  ${entry.after}" +
+        entry.findings.joinToString("") { "\n  finding: $it" }
+}
+
+private fun row(vararg cells: Any): String = cells.joinToString(" ") { it.toString().padEnd(COLUMN_WIDTH) }.trimEnd()
+
+private fun Any?.shown(): String = this?.toString() ?: UNLISTED
+
+private fun Double.percent(): String = "%.1f%%".format(this * PERCENT)
+
+private const val COLUMN_WIDTH = 16
+private const val PERCENT = 100
--- /dev/null
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/CellAllocator.kt
@@ -0,0 +1,151 @@
+package corneltrack.policy
+
+import corneltrack.world.Cell
+import corneltrack.world.EndpointId
+import corneltrack.world.InstanceId
+import corneltrack.world.Pool
+import corneltrack.world.Terms
+import corneltrack.world.WorkspaceId
+
+private const val DEFAULT_QUANTUM = 100.0
+private const val QUANTUM_LEARNING = 0.05
+
+/** What an allocator is told about its cell by configuration and instance list. */
+public data class CellView(
+    val pool: Pool,
+    val home: Set<InstanceId>,
+    val endpoints: Set<EndpointId>,
+    val open: Set<EndpointId>,
+)
+
+/** Shows an allocator's state to operators. */
+public data class AllocatorStatus(
+    val cell: Cell,
+    val supporters: Int,
+    val listed: Int,
+    val limits: Map<EndpointId, Int>,
+    val usable: Int,
+    val running: Int,
+    val waiting: Int,
+    val coldEndpoints: Int,
+)
+
+/**
+ * Allocates the slots of one cell among routers for as long as routers support it.
+ *
+ * Slots are leased: what a router may use is bounded in time, and a slot moves to another router only when its holder
+ * has acknowledged the recall and finished the request in it, or its lease has lapsed. Not thread-safe.
+ *
+ * @param terms the agreement's terms of a workspace.
+ */
+public class CellAllocator(
+    private val cell: Cell,
+    private val times: LeaseTimes,
+    private val terms: (WorkspaceId) -> Terms,
+) {
+    private val supporters = Supporters(times)
+    private val holders = Holders(times)
+    private val book = EndpointBook()
+    private val capacity = CellCapacity(times, supporters, holders, book)
+    private val service = VirtualService { terms(it).weight }
+    private var sequence = 0L
+    private var quantum = DEFAULT_QUANTUM
+    private var division = Division(emptyMap(), emptySet(), 0)
+
+    /** Takes in what configuration and instance list say about the cell. */
+    public fun onView(view: CellView, nowMs: Long) {
+        supporters.onList(view.home, nowMs)
+        book.onEndpoints(view.endpoints, view.open, view.pool)
+    }
+
+    /** Takes in what an endpoint of the cell published about itself. */
+    public fun onEndpointReport(id: EndpointId, report: EndpointReport, nowMs: Long) {
+        book.onReport(id, report, holders.running(id, nowMs))
+    }
+
+    /** Takes in that nothing listens at the address of an endpoint of the cell. */
+    public fun onEndpointDown(id: EndpointId) {
+        book.onOutcomes(id, OutcomeReport(broken = 1), inFlight = 0)
+    }
+
+    /** Takes in the service counted in another cell of the pool. */
+    public fun onSummary(summary: ServiceSummary) {
+        service.chargeRemote(summary)
+    }
+
+    /** Returns the service counted in this cell by workspace. */
+    public fun served(): Map<WorkspaceId, Long> = service.counted()
+
+    /**
+     * Takes in the report of a router and lends it slots.
+     *
+     * @param tokenMs the time named by the token that the report echoed, or null for none.
+     */
+    public fun exchange(
+        from: InstanceId,
+        incarnation: String,
+        tokenMs: Long?,
+        report: CellReport,
+        nowMs: Long,
+    ): CellGrant {
+        if (report.supports && tokenMs != null) {
+            supporters.onSupport(from, tokenMs)
+        }
+        if (report.meanCost > 0) {
+            quantum += QUANTUM_LEARNING * (report.meanCost - quantum)
+        }
+        service.seed(report.virtual)
+        book.seed(report.limits)
+        val holder = holders.of(from, incarnation)
+        holder.onReport(report, nowMs)
+        val totals = report.workspaces.associate { it.workspace to it.served }
+        service.chargeLocal(holder.origin, totals, complete = report.acknowledged == 0L)
+        report.outcomes.forEach { (id, outcomes) -> book.onOutcomes(id, outcomes, inFlight(id)) }
+        holders.expire(nowMs).forEach { service.forget(it) }
+        redivide(nowMs)
+        return grant(holder, nowMs)
+    }
+
+    /** Returns what operators want to know about the cell. */
+    public fun status(nowMs: Long): AllocatorStatus {
+        val reports = holders.all.flatMap { it.workspaces.values }
+        return AllocatorStatus(
+            cell = cell,
+            supporters = supporters.supporting(nowMs).size,
+            listed = supporters.listed(nowMs),
+            limits = book.limits(),
+            usable = capacity.usable(nowMs),
+            running = reports.sumOf { it.running },
+            waiting = reports.sumOf { it.waiting },
+            coldEndpoints = book.coldCount(),
+        )
+    }
+
+    private fun redivide(nowMs: Long) {
+        val demands = holders.all.flatMap { it.demands() }
+        val backlogged = demands.filter { it.waiting > 0 }.mapTo(HashSet()) { it.workspace }
+        service.advance(backlogged)
+        val slots = capacity.usable(nowMs)
+        division = divide(slots, demands, service::of, terms, quantum)
+    }
+
+    private fun grant(holder: Holder, nowMs: Long): CellGrant {
+        val lease = capacity.leaseMs(nowMs)
+        val due = division.targets[holder.id] ?: 0
+        val target = if (lease > 0) due + capacity.ahead(holder, division.spare) else 0
+        val slots = capacity.choose(holder, target, nowMs)
+        sequence++
+        holder.onGrant(slots, sequence, nowMs + lease)
+        return CellGrant(
+            cell = cell,
+            sequence = sequence,
+            slots = slots,
+            leaseMs = lease,
+            virtual = holder.workspaces.keys.associateWith { service.of(it).toLong() },
+            deferred = division.deferred.filterTo(HashSet()) { it in holder.workspaces },
+            limits = book.limits(),
+        )
+    }
+
+    private fun inFlight(id: EndpointId): Int = holders.all.sumOf { it.running[id] ?: 0 }
+}
--- /dev/null
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/EndpointBook.kt
@@ -0,0 +1,62 @@
+package corneltrack.policy
+
+import corneltrack.world.EndpointId
+import corneltrack.world.Pool
+
+private const val REPORT_WINDOW = 3
+
+/** Keeps, for one cell, each endpoint's limit and the load that no known router accounts for. Not thread-safe. */
+internal class EndpointBook {
+    private class Entry(val pool: Pool, val limit: EndpointLimit) {
+        val unaccounted = ArrayDeque<Int>()
+        var open = true
+    }
+
+    private val entries = HashMap<EndpointId, Entry>()
+    private val knownLimits = HashMap<EndpointId, Int>()
+
+    val ids: Set<EndpointId> get() = entries.keys
+
+    /** Takes over limits that a former allocator had found, where this one knows none. */
+    fun seed(limits: Map<EndpointId, Int>) {
+        limits.forEach { (id, limit) -> if (id !in entries) knownLimits.merge(id, limit, ::minOf) }
+    }
+
+    /** Sets the endpoints of the cell; those in [open] take new work. */
+    fun onEndpoints(all: Set<EndpointId>, open: Set<EndpointId>, pool: Pool) {
+        entries.keys.retainAll(all)
+        all.forEach { id ->
+            val known = entries[id]
+            if (known == null || known.pool != pool) {
+                val initial = known?.limit?.current ?: knownLimits.remove(id) ?: pool.coldLimit
+                entries[id] = Entry(pool, EndpointLimit(pool.coldLimit, pool.endpointLimit, initial))
+            }
+            entries.getValue(id).open = id in open
+        }
+    }
+
+    fun onOutcomes(id: EndpointId, outcomes: OutcomeReport, inFlight: Int) {
+        val limit = entries[id]?.limit ?: return
+        val meanMs = outcomes.firstByteMs / outcomes.successes.coerceAtLeast(1)
+        repeat(outcomes.successes) { limit.onOutcome(EndpointOutcome.SUCCESS, meanMs, inFlight) }
+        if (outcomes.refused > 0) limit.onOutcome(EndpointOutcome.REFUSED, 0, inFlight)
+        if (outcomes.broken > 0) limit.onOutcome(EndpointOutcome.BROKEN, 0, inFlight)
+    }
+
+    /** Takes in what an endpoint reported, of which [accounted] requests belong to known routers. */
+    fun onReport(id: EndpointId, report: EndpointReport, accounted: Int) {
+        val entry = entries[id] ?: return
+        entry.limit.onReport(report)
+        entry.unaccounted.addLast(maxOf(0, report.running - accounted))
+        if (entry.unaccounted.size > REPORT_WINDOW) entry.unaccounted.removeFirst()
+    }
+
+    /** Returns the load on [id] that persists through recent reports without a known router behind it. */
+    fun unaccounted(id: EndpointId): Int = entries[id]?.unaccounted?.minOrNull() ?: 0
+
+    fun limit(id: EndpointId): Int = entries[id]?.takeIf { it.open }?.limit?.current ?: 0
+
+    fun limits(): Map<EndpointId, Int> = entries.keys.associateWith { limit(it) }
+
+    fun coldCount(): Int = entries.values.count { it.open && it.limit.cold }
+}
--- /dev/null
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/EndpointLimit.kt
@@ -0,0 +1,115 @@
+package corneltrack.policy
+
+import kotlin.math.max
+import kotlin.math.min
+
+private const val LATENCY_TOLERANCE = 3.0
+private const val LATENCY_WEIGHT = 0.1
+private const val DECREASE_FACTOR = 0.7
+private const val GROWTH_DIVISOR = 4
+
+/** What became of one request at an endpoint, as far as the endpoint's limit is concerned. */
+public enum class EndpointOutcome {
+    /** Answered; its first byte came after a measured time. */
+    SUCCESS,
+
+    /** The endpoint said that it has too much work. */
+    REFUSED,
+
+    /** The connection was refused, reset, closed early or fell silent. */
+    BROKEN,
+}
+
+/** What an endpoint last published about itself, with a lag. */
+public data class EndpointReport(
+    val incarnation: String,
+    val running: Int,
+    val cold: Boolean,
+    val atMs: Long,
+)
+
+/**
+ * Bounds the concurrent requests of one endpoint over all routers together.
+ *
+ * The limit starts at [coldLimit], grows by a quarter for each full round of timely answers, shrinks when the endpoint
+ * refuses, and falls back to [coldLimit] on any sign of a cold start: a new incarnation, a reported cold state or a
+ * broken connection. Not thread-safe; owned by the allocator of the endpoint's cell.
+ */
+public class EndpointLimit(
+    private val coldLimit: Int,
+    private val ceiling: Int,
+    initial: Int = coldLimit,
+) {
+    private var limit = initial.coerceIn(min(coldLimit, ceiling), ceiling)
+    private var successes = 0
+    private var typicalFirstByteMs = 0.0
+    private var incarnation: String? = null
+    private var reportedCold = false
+
+    /** Whether the endpoint is in cold start as far as is known. */
+    public var cold: Boolean = limit <= coldLimit
+        private set
+
+    /** The incarnation last seen, or null before the first report. */
+    public val knownIncarnation: String? get() = incarnation
+
+    /** The slots that may be lent at present. */
+    public val current: Int get() = limit
+
+    /**
+     * Takes in one ended request.
+     *
+     * @param firstByteMs the time to the first byte of the answer, in ms; counts only for [EndpointOutcome.SUCCESS].
+     * @param inFlight the requests that the endpoint ran at about that time; only a full endpoint shows that it bears
+     * its limit.
+     */
+    public fun onOutcome(outcome: EndpointOutcome, firstByteMs: Long, inFlight: Int) {
+        when (outcome) {
+            EndpointOutcome.SUCCESS -> onSuccess(firstByteMs, full = inFlight >= limit)
+            EndpointOutcome.REFUSED -> shrink()
+            EndpointOutcome.BROKEN -> fallToCold()
+        }
+    }
+
+    /** Takes in what the endpoint publishes about itself. */
+    public fun onReport(report: EndpointReport) {
+        val restarted = incarnation != null && incarnation != report.incarnation
+        incarnation = report.incarnation
+        reportedCold = report.cold
+        if (restarted || report.cold) {
+            fallToCold()
+        }
+    }
+
+    private fun onSuccess(firstByteMs: Long, full: Boolean) {
+        val slow = typicalFirstByteMs > 0 && firstByteMs > LATENCY_TOLERANCE * typicalFirstByteMs + 1
+        typicalFirstByteMs += LATENCY_WEIGHT * (firstByteMs - typicalFirstByteMs)
+        if (slow) {
+            successes = 0
+            return
+        }
+        if (full) {
+            successes++
+        }
+        if (successes >= limit && !reportedCold) {
+            grow()
+        }
+    }
+
+    private fun grow() {
+        successes = 0
+        limit = min(ceiling, limit + max(1, limit / GROWTH_DIVISOR))
+        cold = false
+    }
+
+    private fun shrink() {
+        successes = 0
+        limit = max(min(coldLimit, ceiling), (limit * DECREASE_FACTOR).toInt())
+    }
+
+    private fun fallToCold() {
+        successes = 0
+        limit = min(coldLimit, ceiling)
+        cold = true
+    }
+}
--- /dev/null
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/Exchange.kt
@@ -0,0 +1,123 @@
+package corneltrack.policy
+
+import corneltrack.world.Cell
+import corneltrack.world.EndpointId
+import corneltrack.world.InstanceId
+import corneltrack.world.WorkspaceId
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/**
+ * States what one workspace does at one router in one cell.
+ *
+ * @property waiting the requests that wait for a slot of the cell.
+ * @property running the requests that hold a slot of the cell.
+ * @property served the cost served in the cell since the router's incarnation began.
+ * @property oldestWaitMs how long the oldest of [waiting] has waited, in ms.
+ */
+@Serializable
+public data class WorkspaceReport(
+    @SerialName("w") val workspace: WorkspaceId,
+    @SerialName("q") val waiting: Int = 0,
+    @SerialName("r") val running: Int = 0,
+    @SerialName("s") val served: Long = 0,
+    @SerialName("o") val oldestWaitMs: Long = 0,
+)
+
+/** Counts how requests at one endpoint ended since the last acknowledged report. */
+@Serializable
+public data class OutcomeReport(
+    @SerialName("s") val successes: Int = 0,
+    @SerialName("r") val refused: Int = 0,
+    @SerialName("b") val broken: Int = 0,
+    @SerialName("f") val firstByteMs: Long = 0,
+)
+
+/**
+ * States what one router holds and wants in one cell.
+ *
+ * @property supports whether the sender belongs to the cell's home group and supports the receiver as its allocator.
+ * @property acknowledged the sequence of the last grant that the sender applied, or 0.
+ * @property running the requests in flight by endpoint.
+ * @property virtual the sender's last known virtual service by workspace, sent until a first grant is acknowledged.
+ * @property limits the sender's last known endpoint limits, sent until a first grant is acknowledged.
+ * @property meanCost the mean cost of the requests that ended lately at the sender, or 0 where none did.
+ */
+@Serializable
+public data class CellReport(
+    @SerialName("c") val cell: Cell,
+    @SerialName("h") val supports: Boolean = false,
+    @SerialName("a") val acknowledged: Long = 0,
+    @SerialName("r") val running: Map<EndpointId, Int> = emptyMap(),
+    @SerialName("w") val workspaces: List<WorkspaceReport> = emptyList(),
+    @SerialName("o") val outcomes: Map<EndpointId, OutcomeReport> = emptyMap(),
+    @SerialName("v") val virtual: Map<WorkspaceId, Long> = emptyMap(),
+    @SerialName("l") val limits: Map<EndpointId, Int> = emptyMap(),
+    @SerialName("m") val meanCost: Long = 0,
+)
+
+/**
+ * Lends slots of one cell to one router.
+ *
+ * @property sequence rises with each grant of one allocator incarnation.
+ * @property slots the requests that the router may have in flight by endpoint.
+ * @property leaseMs how long the slots may be used for new work, counted from when the router sent its report.
+ * @property virtual the virtual service by workspace, for the workspaces that the router reported.
+ * @property deferred the workspaces at their cap while others wait.
+ * @property limits the limit of each endpoint of the cell over all routers.
+ */
+@Serializable
+public data class CellGrant(
+    @SerialName("c") val cell: Cell,
+    @SerialName("q") val sequence: Long,
+    @SerialName("s") val slots: Map<EndpointId, Int> = emptyMap(),
+    @SerialName("t") val leaseMs: Long = 0,
+    @SerialName("v") val virtual: Map<WorkspaceId, Long> = emptyMap(),
+    @SerialName("d") val deferred: Set<WorkspaceId> = emptySet(),
+    @SerialName("l") val limits: Map<EndpointId, Int> = emptyMap(),
+)
+
+/**
+ * Carries all that one router has to say to one allocator.
+ *
+ * @property echo the token of the allocator's last answer, or null; support counts from the moment named by the token.
+ * @property configurationOffset the offset up to which the sender has applied the configuration stream.
+ */
+@Serializable
+public data class ExchangeRequest(
+    @SerialName("i") val from: InstanceId,
+    @SerialName("n") val incarnation: String,
+    @SerialName("e") val echo: String? = null,
+    @SerialName("g") val configurationOffset: Long = -1,
+    @SerialName("c") val cells: List<CellReport> = emptyList(),
+)
+
+/**
+ * Answers an [ExchangeRequest].
+ *
+ * @property token names the moment at which the allocator answered; opaque to the router.
+ * @property releaseMs set by an allocator that shuts down: the time after which all its leases have ended and the
+ * router may support another, in ms.
+ */
+@Serializable
+public data class ExchangeResponse(
+    @SerialName("i") val from: InstanceId,
+    @SerialName("n") val incarnation: String,
+    @SerialName("t") val token: String,
+    @SerialName("g") val configurationOffset: Long = -1,
+    @SerialName("x") val releaseMs: Long? = null,
+    @SerialName("c") val grants: List<CellGrant> = emptyList(),
+)
+
+/**
+ * Carries the service that one cell's allocator has counted, to the allocators of the same pool elsewhere.
+ *
+ * @property term names the allocator's term; totals of different terms are independent.
+ * @property served the cost served in the cell by workspace since the term began.
+ */
+@Serializable
+public data class ServiceSummary(
+    val cell: Cell,
+    val term: String,
+    val served: Map<WorkspaceId, Long>,
+)
--- /dev/null
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/FairDivision.kt
@@ -0,0 +1,153 @@
+package corneltrack.policy
+
+import corneltrack.world.InstanceId
+import corneltrack.world.Terms
+import corneltrack.world.WorkspaceId
+import java.util.PriorityQueue
+import kotlin.math.floor
+import kotlin.math.max
+
+private const val REMOTE_PENALTY = 2.0
+private const val OVERDUE_WAIT_MS = 2_000L
+
+/**
+ * Wants slots for one workspace at one router.
+ *
+ * @property local whether the router belongs to the cell's home group; others are served at a handicap, since their
+ * traffic crosses regions.
+ */
+public data class Demand(
+    val workspace: WorkspaceId,
+    val instance: InstanceId,
+    val waiting: Int,
+    val running: Int,
+    val oldestWaitMs: Long = 0,
+    val local: Boolean = true,
+) {
+    internal val total: Int get() = waiting + running
+}
+
+/**
+ * Holds the result of [divide].
+ *
+ * @property targets the slots due to each router.
+ * @property deferred the workspaces held back by their cap while others wait.
+ * @property spare the slots that nobody wants.
+ */
+public data class Division(
+    val targets: Map<InstanceId, Int>,
+    val deferred: Set<WorkspaceId>,
+    val spare: Int,
+)
+
+/**
+ * Divides [slots] among [demands] by weighted max-min fairness, corrected by the service received so far.
+ *
+ * Slots go one at a time to the workspace whose virtual service is lowest, counting each slot already assigned as
+ * [quantum] of cost. A workspace at its cap is passed over while another one can use the slot; afterwards unused slots
+ * are lent to it all the same.
+ *
+ * @param virtual the virtual service of a workspace.
+ * @param terms the agreement's terms of a workspace.
+ * @param quantum the cost that one slot serves in about one request, in units of the pool.
+ */
+public fun divide(
+    slots: Int,
+    demands: List<Demand>,
+    virtual: (WorkspaceId) -> Double,
+    terms: (WorkspaceId) -> Terms,
+    quantum: Double,
+): Division {
+    val filling = Filling(slots, virtual, terms, quantum)
+    demands.filter { it.total > 0 }
+        .groupBy { it.workspace to it.local }
+        .forEach { (key, group) -> filling.add(key.first, key.second, group) }
+    val spare = filling.fill()
+    val targets = HashMap<InstanceId, Int>()
+    filling.shares.forEach { share -> spread(share.assigned, share.demands, targets) }
+    return Division(targets, filling.deferred, spare)
+}
+
+private class Share(
+    val workspace: WorkspaceId,
+    val local: Boolean,
+    val demands: List<Demand>,
+    val wanted: Int,
+) {
+    var assigned = 0
+}
+
+private class Filling(
+    private val slots: Int,
+    private val virtual: (WorkspaceId) -> Double,
+    private val terms: (WorkspaceId) -> Terms,
+    private val quantum: Double,
+) {
+    val shares = mutableListOf<Share>()
+    val deferred = HashSet<WorkspaceId>()
+    private val held = HashMap<WorkspaceId, Int>()
+
+    fun add(workspace: WorkspaceId, local: Boolean, demands: List<Demand>) {
+        shares += Share(workspace, local, demands, demands.sumOf { it.total })
+    }
+
+    fun fill(): Int {
+        val left = fill(slots, shares) { share -> heldBy(share) < capOf(share) }
+        val capped = shares.filter { it.assigned < it.wanted }
+        if (left < slots && shares.any { it.workspace !in capped.map(Share::workspace) }) {
+            deferred += capped.filter { heldBy(it) >= capOf(it) }.map { it.workspace }
+        }
+        return if (left == 0) 0 else fill(left, capped) { true }
+    }
+
+    private fun fill(available: Int, among: List<Share>, eligible: (Share) -> Boolean): Int {
+        var left = available
+        val queue = PriorityQueue<Pair<Double, Share>>(compareBy({ it.first }, { it.second.workspace }))
+        among.filter { it.assigned < it.wanted }.forEach { queue += key(it) to it }
+        while (left > 0) {
+            val (recorded, share) = queue.poll() ?: break
+            when {
+                key(share) > recorded -> queue += key(share) to share
+                eligible(share) -> {
+                    share.assigned++
+                    held.merge(share.workspace, 1, Int::plus)
+                    left--
+                    if (share.assigned < share.wanted) queue += key(share) to share
+                }
+            }
+        }
+        return left
+    }
+
+    private fun key(share: Share): Double {
+        val handicap = if (share.local) 0.0 else REMOTE_PENALTY * quantum
+        return virtual(share.workspace) + handicap + heldBy(share) * quantum / terms(share.workspace).weight
+    }
+
+    private fun heldBy(share: Share): Int = held[share.workspace] ?: 0
+
+    private fun capOf(share: Share): Int = max(1, floor(terms(share.workspace).cap * slots).toInt())
+}
+
+/** Spreads [assigned] slots of one workspace over its routers in proportion to demand, moving as few as it can. */
+private fun spread(assigned: Int, demands: List<Demand>, targets: MutableMap<InstanceId, Int>) {
+    val total = demands.sumOf { it.total }
+    if (total == 0 || assigned == 0) {
+        return
+    }
+    val base = demands.associateWith { floor(assigned.toDouble() * it.total / total).toInt() }
+    var left = assigned - base.values.sum()
+    val order = demands.sortedWith(
+        compareBy<Demand> { !it.overdue(base.getValue(it)) }
+            .thenBy { it.running <= base.getValue(it) }
+            .thenByDescending { assigned.toDouble() * it.total / total - base.getValue(it) }
+            .thenBy { it.instance },
+    )
+    for (demand in order) {
+        val extra = if (left > 0 && base.getValue(demand) < demand.total) 1 else 0
+        left -= extra
+        targets.merge(demand.instance, base.getValue(demand) + extra, Int::plus)
+    }
+}
+
+private fun Demand.overdue(base: Int): Boolean = base == 0 && running == 0 && oldestWaitMs > OVERDUE_WAIT_MS
--- /dev/null
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/FairQueue.kt
@@ -0,0 +1,69 @@
+package corneltrack.policy
+
+import corneltrack.world.WorkspaceId
+
+/** Waits for a slot. */
+public interface Waiting {
+    /** The workspace that pays. */
+    public val workspace: WorkspaceId
+
+    /** When the request arrived, in ms of the router's clock. */
+    public val arrivedMs: Long
+
+    /** The latest moment at which it may start, in ms of the router's clock. */
+    public val deadlineMs: Long
+}
+
+/** Holds the waiting requests of one pool at one router, in order of arrival per workspace. Not thread-safe. */
+public class FairQueue<T : Waiting> {
+    private val queues = HashMap<WorkspaceId, ArrayDeque<T>>()
+
+    /** The number of waiting requests. */
+    public val size: Int get() = queues.values.sumOf { it.size }
+
+    /** The workspaces with waiting requests. */
+    public val workspaces: Set<WorkspaceId> get() = queues.keys
+
+    /** Adds [item] unless its workspace already has [limit] waiting. Returns whether it was added. */
+    public fun offer(item: T, limit: Int): Boolean {
+        val queue = queues.getOrPut(item.workspace) { ArrayDeque() }
+        if (queue.size >= limit) {
+            return false
+        }
+        queue.addLast(item)
+        return true
+    }
+
+    /** Puts [item] back at the head of its workspace's queue. */
+    public fun putBack(item: T) {
+        queues.getOrPut(item.workspace) { ArrayDeque() }.addFirst(item)
+    }
+
+    /** Removes [item], for example because its caller left. Returns whether it was waiting. */
+    public fun remove(item: T): Boolean {
+        val queue = queues[item.workspace] ?: return false
+        return queue.remove(item).also { prune(item.workspace) }
+    }
+
+    /** Returns the oldest waiting request of [workspace]. */
+    public fun peek(workspace: WorkspaceId): T? = queues[workspace]?.firstOrNull()
+
+    /** Returns the waiting requests of [workspace], oldest first. */
+    public fun waiting(workspace: WorkspaceId): List<T> = queues[workspace].orEmpty().toList()
+
+    /** Removes and returns the requests whose deadline has passed at [nowMs]. */
+    public fun expire(nowMs: Long): List<T> = drain { it.deadlineMs <= nowMs }
+
+    /** Removes and returns the requests that [leaves] picks. */
+    public fun drain(leaves: (T) -> Boolean): List<T> {
+        val leaving = queues.values.flatMap { queue -> queue.filter(leaves) }
+        leaving.forEach { remove(it) }
+        return leaving
+    }
+
+    private fun prune(workspace: WorkspaceId) {
+        if (queues[workspace]?.isEmpty() == true) {
+            queues.remove(workspace)
+        }
+    }
+}
--- /dev/null
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/Holders.kt
@@ -0,0 +1,95 @@
+package corneltrack.policy
+
+import corneltrack.world.EndpointId
+import corneltrack.world.InstanceId
+import corneltrack.world.WorkspaceId
+
+/** What an allocator knows of one router that holds or wants slots of its cell. Not thread-safe. */
+internal class Holder(val id: InstanceId, val incarnation: String) {
+    val origin: String get() = "$id/$incarnation"
+    var local = false
+    var leaseUntilMs = 0L
+    var lastReportMs = 0L
+    var sequence = 0L
+    var running: Map<EndpointId, Int> = emptyMap()
+    var workspaces: Map<WorkspaceId, WorkspaceReport> = emptyMap()
+    var granted: Map<EndpointId, Int> = emptyMap()
+    var committed: Map<EndpointId, Int> = emptyMap()
+
+    /** Takes in a report. Slots recalled by an acknowledged grant are committed only as far as they still run. */
+    fun onReport(report: CellReport, nowMs: Long) {
+        lastReportMs = nowMs
+        local = report.supports
+        running = report.running
+        workspaces = report.workspaces.associateBy { it.workspace }
+        val bound = if (report.acknowledged == sequence) granted else committed
+        committed = bound.mergedMax(running)
+    }
+
+    /** Records that [slots] are lent until [untilMs] under the grant [sequence]. */
+    fun onGrant(slots: Map<EndpointId, Int>, sequence: Long, untilMs: Long) {
+        committed = committed.mergedMax(slots)
+        granted = slots
+        this.sequence = sequence
+        leaseUntilMs = maxOf(leaseUntilMs, untilMs)
+    }
+
+    fun demands(): List<Demand> = workspaces.values.map {
+        Demand(it.workspace, id, it.waiting, it.running, it.oldestWaitMs, local)
+    }
+}
+
+internal fun Map<EndpointId, Int>.mergedMax(other: Map<EndpointId, Int>): Map<EndpointId, Int> {
+    val merged = HashMap(this)
+    other.forEach { (endpoint, count) -> merged.merge(endpoint, count, ::maxOf) }
+    return merged
+}
+
+/** Keeps the holders of one cell and drops those that have been silent past their lease. Not thread-safe. */
+internal class Holders(private val times: LeaseTimes) {
+    private val byId = HashMap<InstanceId, Holder>()
+    private val former = mutableListOf<Holder>()
+
+    val all: Collection<Holder> get() = byId.values
+
+    /** Returns the holder for a router incarnation; a former incarnation's slots stay committed until they lapse. */
+    fun of(id: InstanceId, incarnation: String): Holder {
+        val known = byId[id]
+        if (known != null && known.incarnation == incarnation) {
+            return known
+        }
+        if (known != null) {
+            former += known
+        }
+        return Holder(id, incarnation).also { byId[id] = it }
+    }
+
+    /** Returns the slots of [endpoint] that anyone but [except] may be using. */
+    fun committed(endpoint: EndpointId, except: Holder): Int =
+        (byId.values + former).filter { it !== except }.sumOf { it.committed[endpoint] ?: 0 }
+
+    /** Returns the requests known to run on [endpoint] at routers whose lease is alive. */
+    fun running(endpoint: EndpointId, nowMs: Long): Int =
+        byId.values.filter { it.leaseUntilMs > nowMs }.sumOf { it.running[endpoint] ?: 0 }
+
+    /** Returns the slots of [endpoint] still committed to routers whose lease has lapsed. */
+    fun lapsed(endpoint: EndpointId, nowMs: Long): Int =
+        (byId.values + former).filter { it.leaseUntilMs <= nowMs }.sumOf { it.committed[endpoint] ?: 0 }
+
+    /**
+     * Drops holders whose lease lapsed long enough ago for endpoints' reports to show what they left running.
+     *
+     * @return the origins dropped.
+     */
+    fun expire(nowMs: Long): List<String> {
+        val gone = byId.values.filter { it.isGone(nowMs) }
+        gone.forEach { byId.remove(it.id) }
+        former.removeIf { it.isGone(nowMs) }
+        return gone.map { it.origin }
+    }
+
+    private fun Holder.isGone(nowMs: Long): Boolean {
+        val last = maxOf(leaseUntilMs, lastReportMs + times.leaseMs)
+        return nowMs > last + 2 * times.reportLagMs
+    }
+}
--- /dev/null
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/SupportShare.kt
@@ -0,0 +1,28 @@
+package corneltrack.policy
+
+import kotlin.math.ceil
+import kotlin.math.floor
+import kotlin.math.pow
+
+private const val SHARPNESS = 4
+private const val ROUNDING_SLACK = 1e-9
+
+/**
+ * Returns how many of [limit] slots an allocator may lend while [supporters] of [listed] routers support it.
+ *
+ * A router supports one allocator at a time, so allocators that act at once have disjoint supporters. The curve is
+ * superadditive: whatever way the routers split, the results add up to at most [limit]. It favours the majority, so
+ * that the loss of a few routers costs almost no capacity.
+ *
+ * @return a number of slots in 0..limit.
+ */
+public fun supportedSlots(limit: Int, supporters: Int, listed: Int): Int {
+    if (supporters <= 0) {
+        return 0
+    }
+    val share = (supporters.toDouble() / listed).coerceAtMost(1.0)
+    val own = share.pow(SHARPNESS)
+    val slots = limit * own / (own + (1 - share).pow(SHARPNESS))
+    val rounded = if (supporters * 2 > listed) ceil(slots - ROUNDING_SLACK) else floor(slots + ROUNDING_SLACK)
+    return rounded.toInt().coerceIn(0, limit)
+}
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/AllocatorDuty.kt
@@ -0,0 +1,122 @@
+package corneltrack.router
+
+import corneltrack.policy.AllocatorStatus
+import corneltrack.policy.CellAllocator
+import corneltrack.policy.CellGrant
+import corneltrack.policy.CellReport
+import corneltrack.policy.CellView
+import corneltrack.policy.EndpointReport
+import corneltrack.policy.ExchangeRequest
+import corneltrack.policy.ExchangeResponse
+import corneltrack.policy.LeaseTimes
+import corneltrack.policy.ServiceSummary
+import corneltrack.wire.event
+import corneltrack.world.Cell
+import corneltrack.world.Endpoint
+import org.apache.logging.log4j.LogManager
+
+private const val UNUSED_MS = 30_000L
+private val logger = LogManager.getLogger("corneltrack.router.AllocatorDuty")
+
+/**
+ * Holds the allocators of the cells for which other routers have turned to this one.
+ *
+ * Only used on the control thread.
+ */
+internal class AllocatorDuty(
+    private val settings: RouterSettings,
+    private val incarnation: String,
+    private val views: RouterViews,
+    private val times: LeaseTimes,
+    private val clock: Clock,
+) {
+    private class Duty(val allocator: CellAllocator, val term: String, var usedMs: Long)
+
+    private val duties = HashMap<Cell, Duty>()
+    private var releaseAtMs: Long? = null
+
+    /** The cells that this router allocates. */
+    val cells: Set<Cell> get() = duties.keys
+
+    /** Answers a router's report with grants. */
+    fun exchange(request: ExchangeRequest): ExchangeResponse {
+        val nowMs = clock()
+        val tokenMs = request.echo?.let { tokenTime(it, incarnation) }
+        val grants = request.cells.mapNotNull { exchange(request, it, tokenMs, nowMs) }
+        return ExchangeResponse(
+            from = settings.id,
+            incarnation = incarnation,
+            token = "$incarnation:$nowMs",
+            configurationOffset = views.current.configuration.offset,
+            releaseMs = releaseAtMs?.let { maxOf(0, it - nowMs) },
+            grants = grants,
+        )
+    }
+
+    /** Takes in what an endpoint published. */
+    fun onEndpointReport(endpoint: Endpoint, report: EndpointReport) {
+        duties[endpoint.cell]?.allocator?.onEndpointReport(endpoint.id, report, clock())
+    }
+
+    /** Takes in that nothing listens at an endpoint's address. */
+    fun onEndpointDown(endpoint: Endpoint) {
+        duties[endpoint.cell]?.allocator?.onEndpointDown(endpoint.id)
+    }
+
+    /** Takes in the service counted in another cell, for the cells of the same pool. */
+    fun onSummary(summary: ServiceSummary) {
+        duties.filterKeys { it.pool == summary.cell.pool && it != summary.cell }
+            .values.forEach { it.allocator.onSummary(summary) }
+    }
+
+    /** Returns what this router's cells have served. */
+    fun summaries(): List<ServiceSummary> =
+        duties.map { (cell, duty) -> ServiceSummary(cell, duty.term, duty.allocator.served()) }
+
+    /** Returns the state of each cell that this router allocates. */
+    fun status(): List<AllocatorStatus> = duties.values.map { it.allocator.status(clock()) }
+
+    /** Lets all leases end within one lease time, so that others can take over. Returns that time, in ms. */
+    fun release(): Long {
+        releaseAtMs = releaseAtMs ?: (clock() + times.leaseMs)
+        return times.leaseMs
+    }
+
+    /** Gives up the cells that nobody has asked for lately. */
+    fun expire() {
+        val nowMs = clock()
+        duties.filterValues { nowMs - it.usedMs > UNUSED_MS }.keys.toList().forEach { cell ->
+            duties.remove(cell)
+            logger.event("allocator_ended") { field("cell", cell) }
+        }
+    }
+
+    private fun exchange(request: ExchangeRequest, report: CellReport, tokenMs: Long?, nowMs: Long): CellGrant? {
+        val view = views.current.cellView(report.cell) ?: return null
+        val duty = duties.getOrPut(report.cell) { begin(report.cell, nowMs) }
+        duty.usedMs = nowMs
+        duty.allocator.onView(view, nowMs)
+        val grant = duty.allocator.exchange(request.from, request.incarnation, tokenMs, report, nowMs)
+        return releaseAtMs?.let { grant.copy(leaseMs = grant.leaseMs.coerceAtMost(it - nowMs)) } ?: grant
+    }
+
+    private fun begin(cell: Cell, nowMs: Long): Duty {
+        logger.event("allocator_began") { field("cell", cell) }
+        val allocator = CellAllocator(cell, times) { views.current.configuration.agreement.termsFor(it) }
+        return Duty(allocator, "$incarnation/$nowMs", nowMs)
+    }
+}
+
+private fun RouterView.cellView(cell: Cell): CellView? {
+    val pool = configuration.pools[cell.pool] ?: return null
+    val endpoints = endpointsByCell[cell].orEmpty()
+    return CellView(
+        pool = pool,
+        home = home(cell).mapTo(HashSet()) { it.id },
+        endpoints = endpoints.mapTo(HashSet()) { it.id },
+        open = endpoints.filter { isOpen(it) }.mapTo(HashSet()) { it.id },
+    )
+}
+
+private fun tokenTime(token: String, incarnation: String): Long? =
+    token.takeIf { it.substringBefore(':') == incarnation }?.substringAfter(':')?.toLongOrNull()
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/CallerAnswer.kt
@@ -0,0 +1,134 @@
+package corneltrack.router
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.DefaultHttpContent
+import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.encodeToString
+import kotlinx.serialization.json.Json
+
+/** The header that tells whether a request ran. */
+internal const val OUTCOME_HEADER: String = "x-corneltrack-outcome"
+
+private val errorJson = Json { encodeDefaults = true }
+
+/** Carries an error in the shape that clients of the OpenAI interface read. */
+@Serializable
+internal data class ErrorBody(val error: ErrorDetail)
+
+@Serializable
+internal data class ErrorDetail(
+    val message: String,
+    val code: String,
+    val outcome: String,
+    val type: String = "corneltrack_error",
+    val param: String? = null,
+)
+
+/** Writes one answer to a caller. Used on the connection's event loop only. */
+internal class CallerAnswer(
+    private val context: ChannelHandlerContext,
+    private val keepAlive: Boolean,
+    private val onAnswered: () -> Unit,
+) : AnswerSink {
+    /** Cancels the request when the caller leaves. */
+    var onGone: () -> Unit = {}
+
+    /** Tells the request's attempt whether the caller's connection takes more. */
+    var onWritable: ((Boolean) -> Unit)? = null
+    private var ended = false
+
+    override val writable: Boolean get() = context.channel().isWritable
+
+    override fun head(response: HttpResponse) {
+        val head = DefaultHttpResponse(HttpVersion.HTTP_1_1, response.status())
+        head.headers().set(response.headers())
+        HOP_HEADERS.forEach { head.headers().remove(it) }
+        val empty = response.status().code() in BODILESS
+        if (!HttpUtil.isContentLengthSet(response) && !empty) {
+            head.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+        }
+        if (!keepAlive) {
+            head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        }
+        context.writeAndFlush(head)
+    }
+
+    override fun content(data: ByteBuf) {
+        context.writeAndFlush(DefaultHttpContent(data))
+    }
+
+    override fun end() {
+        val written = context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+        finish()
+        if (!keepAlive) {
+            written.addListener(ChannelFutureListener.CLOSE)
+        }
+    }
+
+    override fun refuse(refusal: Refusal) {
+        val detail = ErrorDetail(refusal.message, refusal.code, refusal.outcome.text)
+        val response = full(refusal.status, errorJson.encodeToString(ErrorBody(detail)))
+        response.headers().set(OUTCOME_HEADER, refusal.outcome.text)
+        refusal.retryAfterSeconds?.let { response.headers().setInt(HttpHeaderNames.RETRY_AFTER, it) }
+        write(response)
+    }
+
+    /** Sends a whole answer of the router's own that is no error. */
+    fun answer(body: String) = write(full(HttpResponseStatus.OK, body))
+
+    override fun abort(reason: String) {
+        ended = true
+        context.close()
+    }
+
+    /** Cancels the request unless its answer has ended. */
+    fun onCallerGone() {
+        if (!ended) {
+            ended = true
+            onGone()
+        }
+    }
+
+    private fun full(status: HttpResponseStatus, body: String): DefaultFullHttpResponse {
+        val content = Unpooled.copiedBuffer(body, Charsets.UTF_8)
+        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content)
+        response.headers()
+            .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
+            .setInt(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes())
+        if (!keepAlive) {
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        }
+        return response
+    }
+
+    private fun write(response: DefaultFullHttpResponse) {
+        if (ended) {
+            response.release()
+            return
+        }
+        val written = context.writeAndFlush(response)
+        finish()
+        if (!keepAlive) {
+            written.addListener(ChannelFutureListener.CLOSE)
+        }
+    }
+
+    private fun finish() {
+        ended = true
+        onAnswered()
+    }
+}
+
+private val BODILESS = setOf(HttpResponseStatus.NO_CONTENT.code(), HttpResponseStatus.NOT_MODIFIED.code())
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/CallerConnection.kt
@@ -0,0 +1,164 @@
+package corneltrack.router
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.CompositeByteBuf
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.EventLoop
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.handler.codec.http.TooLongHttpHeaderException
+import io.netty.handler.codec.http.TooLongHttpLineException
+import io.netty.util.ReferenceCountUtil
+import java.util.concurrent.ScheduledFuture
+import java.util.concurrent.TimeUnit
+
+private const val BODY_TIMEOUT_MS = 30_000L
+private const val READER_TIMEOUT_MS = 60_000L
+
+/** A complete request of a caller. */
+internal class CallerRequest(val head: HttpRequest, val body: ByteArray)
+
+/** Takes in a caller's complete request; the answer goes to the sink. Returns what cancels the request. */
+internal typealias RequestHandler = (request: CallerRequest, loop: EventLoop, sink: AnswerSink) -> (() -> Unit)
+
+/**
+ * Reads one caller's requests one after the other and writes their answers.
+ *
+ * A further request that arrives during an answer is kept back until the answer has ended.
+ *
+ * @param bodyLimit the largest body, in bytes.
+ */
+internal class CallerConnection(
+    private val bodyLimit: Int,
+    private val handle: RequestHandler,
+) : ChannelInboundHandlerAdapter() {
+    private var head: HttpRequest? = null
+    private var body: CompositeByteBuf? = null
+    private var answer: CallerAnswer? = null
+    private var closing = false
+    private var timer: ScheduledFuture<*>? = null
+    private val heldBack = ArrayDeque<Any>()
+
+    override fun channelRead(context: ChannelHandlerContext, message: Any) {
+        if (answer != null) {
+            heldBack.addLast(message)
+            context.channel().config().isAutoRead = false
+            return
+        }
+        try {
+            if (!closing) onMessage(context, message)
+        } finally {
+            ReferenceCountUtil.release(message)
+        }
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) {
+        timer?.cancel(false)
+        answer?.onCallerGone()
+        body?.release()
+        body = null
+        heldBack.forEach(ReferenceCountUtil::release)
+        heldBack.clear()
+    }
+
+    override fun channelWritabilityChanged(context: ChannelHandlerContext) {
+        timer?.cancel(false)
+        val writable = context.channel().isWritable
+        if (!writable) {
+            timer = context.after(READER_TIMEOUT_MS) { context.close() }
+        }
+        answer?.onWritable?.invoke(writable)
+    }
+
+    @Deprecated("Netty keeps this method for inbound handlers")
+    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        context.close()
+    }
+
+    private fun onMessage(context: ChannelHandlerContext, message: Any) {
+        if (message is HttpRequest) onHead(context, message)
+        if (message is HttpContent && head != null) onContent(context, message)
+    }
+
+    private fun onHead(context: ChannelHandlerContext, request: HttpRequest) {
+        val failure = request.decoderResult().cause()
+        if (failure != null) {
+            refuseAndClose(context, unreadable(failure))
+            return
+        }
+        if (HttpUtil.is100ContinueExpected(request)) {
+            context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
+        }
+        head = request
+        body = context.alloc().compositeBuffer(Int.MAX_VALUE)
+        timer = context.after(BODY_TIMEOUT_MS) { refuseAndClose(context, BODY_TIMEOUT) }
+    }
+
+    private fun onContent(context: ChannelHandlerContext, content: HttpContent) {
+        val collected = body ?: return
+        when {
+            content.decoderResult().isFailure -> refuseAndClose(context, UNREADABLE)
+            collected.readableBytes() + content.content().readableBytes() > bodyLimit ->
+                refuseAndClose(context, BODY_TOO_LARGE)
+            else -> {
+                collected.addComponent(true, content.content().retain())
+                if (content is LastHttpContent) onComplete(context)
+            }
+        }
+    }
+
+    private fun onComplete(context: ChannelHandlerContext) {
+        timer?.cancel(false)
+        val request = CallerRequest(head!!, body!!.bytes())
+        body?.release()
+        head = null
+        body = null
+        val keepAlive = HttpUtil.isKeepAlive(request.head)
+        val current = CallerAnswer(context, keepAlive) { onAnswered(context) }
+        answer = current
+        val cancel = handle(request, context.channel().eventLoop() as EventLoop, current)
+        current.onGone = cancel
+    }
+
+    private fun onAnswered(context: ChannelHandlerContext) {
+        answer = null
+        while (answer == null && heldBack.isNotEmpty()) {
+            channelRead(context, heldBack.removeFirst())
+        }
+        if (answer == null) {
+            context.channel().config().isAutoRead = true
+        }
+    }
+
+    private fun refuseAndClose(context: ChannelHandlerContext, refusal: Refusal) {
+        timer?.cancel(false)
+        closing = true
+        head = null
+        body?.release()
+        body = null
+        CallerAnswer(context, keepAlive = false) { }.refuse(refusal)
+    }
+}
+
+private fun unreadable(failure: Throwable): Refusal =
+    if (failure is TooLongHttpHeaderException || failure is TooLongHttpLineException) HEAD_TOO_LARGE else UNREADABLE
+
+private fun ChannelHandlerContext.after(delayMs: Long, action: () -> Unit): ScheduledFuture<*> =
+    executor().schedule(action, delayMs, TimeUnit.MILLISECONDS)
+
+private fun ByteBuf.bytes(): ByteArray = ByteArray(readableBytes()).also { getBytes(readerIndex(), it) }
+
+private val UNREADABLE =
+    Refusal(HttpResponseStatus.BAD_REQUEST, "bad_request", "The request is not valid HTTP.")
+private val HEAD_TOO_LARGE =
+    Refusal(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "head_too_large", "The request head is too large.")
+private val BODY_TOO_LARGE =
+    Refusal(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body_too_large", "The request body is too large.")
+private val BODY_TIMEOUT =
+    Refusal(HttpResponseStatus.REQUEST_TIMEOUT, "body_timeout", "The request body did not arrive in time.")
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/CallerServer.kt
@@ -0,0 +1,52 @@
+package corneltrack.router
+
+import corneltrack.wire.HostAndPort
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.WriteBufferWaterMark
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpServerCodec
+import java.net.InetSocketAddress
+
+private const val HEAD_LIMIT_BYTES = 16_384
+private const val LINE_LIMIT_BYTES = 8_192
+private const val LOW_WATER_BYTES = 32_768
+private const val HIGH_WATER_BYTES = 131_072
+private const val BACKLOG = 1_024
+
+/** Listens for callers. */
+internal class CallerServer(
+    private val acceptors: EventLoopGroup,
+    private val workers: EventLoopGroup,
+    private val handler: () -> CallerConnection,
+) : AutoCloseable {
+    private var channel: Channel? = null
+
+    val port: Int get() = (channel?.localAddress() as InetSocketAddress).port
+
+    fun start(address: HostAndPort): CallerServer {
+        val codec = HttpDecoderConfig().setMaxInitialLineLength(LINE_LIMIT_BYTES).setMaxHeaderSize(HEAD_LIMIT_BYTES)
+        channel = ServerBootstrap()
+            .group(acceptors, workers)
+            .channel(NioServerSocketChannel::class.java)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WriteBufferWaterMark(LOW_WATER_BYTES, HIGH_WATER_BYTES))
+            .childHandler(object : ChannelInitializer<SocketChannel>() {
+                override fun initChannel(child: SocketChannel) {
+                    child.pipeline().addLast(HttpServerCodec(codec), handler())
+                }
+            })
+            .bind(address.toSocketAddress()).sync().channel()
+        return this
+    }
+
+    override fun close() {
+        channel?.close()?.sync()
+    }
+}
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/CellReports.kt
@@ -0,0 +1,86 @@
+package corneltrack.router
+
+import corneltrack.policy.CellGrant
+import corneltrack.policy.CellReport
+import corneltrack.policy.OutcomeReport
+import corneltrack.policy.WorkspaceReport
+import corneltrack.world.Cell
+import corneltrack.world.EndpointId
+import corneltrack.world.WorkspaceId
+
+/** What this router remembers of its exchanges about one cell. */
+internal class CellMemory {
+    var acknowledged = 0L
+    var limits: Map<EndpointId, Int> = emptyMap()
+    var servedSent: Map<WorkspaceId, Long> = emptyMap()
+    var waitingSent = false
+
+    /** Takes in a grant. Returns false where a new term of the allocator has begun, which must first be told all. */
+    fun accept(grant: CellGrant): Boolean {
+        val current = grant.sequence > acknowledged
+        if (current) {
+            acknowledged = grant.sequence
+            limits = grant.limits
+        } else {
+            restart()
+        }
+        return current
+    }
+
+    /** Forgets what the former allocator knew, so that the next report tells everything. */
+    fun restart() {
+        acknowledged = 0
+        servedSent = emptyMap()
+    }
+}
+
+/**
+ * Builds the report on [cell].
+ *
+ * @param supports whether the report carries support; only then all waiting requests count, otherwise only overdue
+ * ones.
+ */
+internal fun cellReport(
+    cell: Cell,
+    supports: Boolean,
+    home: Boolean,
+    memory: CellMemory,
+    sources: ReportSources,
+): CellReport {
+    val snapshot = sources.snapshot
+    val waiting = if (home) snapshot.waiting else snapshot.overdue
+    val running = snapshot.runningByCell[cell].orEmpty()
+    val served = sources.served
+    val changed = served.filter { (workspace, total) -> memory.servedSent[workspace] != total }.keys
+    val workspaces = (waiting.keys + running.keys + changed).map { workspace ->
+        WorkspaceReport(
+            workspace = workspace,
+            waiting = waiting[workspace]?.count ?: 0,
+            running = running[workspace] ?: 0,
+            served = served[workspace] ?: 0,
+            oldestWaitMs = waiting[workspace]?.oldestMs ?: 0,
+        )
+    }
+    val first = memory.acknowledged == 0L
+    memory.waitingSent = waiting.isNotEmpty()
+    return CellReport(
+        cell = cell,
+        supports = supports,
+        acknowledged = memory.acknowledged,
+        running = snapshot.running.filterKeys { it in sources.endpoints },
+        workspaces = workspaces,
+        outcomes = sources.outcomes,
+        virtual = if (first) snapshot.virtual else emptyMap(),
+        limits = if (first) memory.limits else emptyMap(),
+        meanCost = sources.meanCost,
+    )
+}
+
+/** Holds what a report on one cell is made of. */
+internal class ReportSources(
+    val snapshot: PoolSnapshot,
+    val served: Map<WorkspaceId, Long>,
+    val endpoints: Set<EndpointId>,
+    val outcomes: Map<EndpointId, OutcomeReport>,
+    val meanCost: Long,
+)
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/ClaimLedger.kt
@@ -0,0 +1,78 @@
+package corneltrack.router
+
+import kotlinx.serialization.Serializable
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+
+private const val REMEMBERED_CLAIMS = 200_000
+private const val KEPT_BYTES_LIMIT = 32L * 1024 * 1024
+
+/** Tells what became of a claimed request. */
+@Serializable
+internal enum class ClaimState { RUNNING, DONE, NOT_RUN, UNKNOWN }
+
+/** A whole answer kept for a caller's repeat. [body] is Base64. */
+@Serializable
+internal data class KeptAnswer(val status: Int, val contentType: String, val body: String)
+
+/** Answers a question about a claim. [answer] is null where the answer was too large to keep. */
+@Serializable
+internal data class ClaimOutcome(val state: ClaimState, val answer: KeptAnswer? = null)
+
+/** Remembers, at the owner, what became of each of its claims. Thread-safe. */
+internal class ClaimLedger {
+    private class Entry {
+        val ended = CompletableFuture<ClaimOutcome>()
+        var bytes = 0L
+    }
+
+    private val entries = LinkedHashMap<String, Entry>()
+    private var keptBytes = 0L
+
+    /** Records that the request of [claimId] may run from now on. The oldest claims are forgotten past a limit. */
+    @Synchronized
+    fun begin(claimId: String) {
+        entries[claimId] = Entry()
+        if (entries.size > REMEMBERED_CLAIMS) {
+            entries.remove(entries.keys.first())
+        }
+    }
+
+    /** Forgets a claim that did not win. */
+    @Synchronized
+    fun forget(claimId: String) {
+        entries.remove(claimId)
+    }
+
+    /** Records how the request of [claimId] ended. The oldest kept answers make room for new ones. */
+    fun end(claimId: String, outcome: ClaimOutcome) {
+        val entry = synchronized(this) {
+            entries.getOrPut(claimId) { Entry() }.also {
+                it.bytes = outcome.answer?.body?.length?.toLong() ?: 0
+                keptBytes += it.bytes
+            }
+        }
+        entry.ended.complete(outcome)
+        makeRoom()
+    }
+
+    /** Returns the outcome of [claimId], waiting up to [waitMs] for it; a claim never begun here is unknown. */
+    fun outcome(claimId: String, waitMs: Long): CompletableFuture<ClaimOutcome> {
+        val entry = synchronized(this) { entries[claimId] }
+            ?: return CompletableFuture.completedFuture(ClaimOutcome(ClaimState.UNKNOWN))
+        return entry.ended.copy().completeOnTimeout(ClaimOutcome(ClaimState.RUNNING), waitMs, TimeUnit.MILLISECONDS)
+    }
+
+    @Synchronized
+    private fun makeRoom() {
+        val oldest = entries.entries.iterator()
+        while (keptBytes > KEPT_BYTES_LIMIT && oldest.hasNext()) {
+            val (claimId, entry) = oldest.next()
+            if (entry.bytes > 0) {
+                val outcome = entry.ended.getNow(ClaimOutcome(ClaimState.UNKNOWN))
+                keptBytes -= entry.bytes
+                entries[claimId] = Entry().apply { ended.complete(outcome.copy(answer = null)) }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/ClaimStream.kt
@@ -0,0 +1,130 @@
+package corneltrack.router
+
+import corneltrack.policy.Claim
+import corneltrack.policy.ClaimTable
+import corneltrack.wire.AppendResult
+import corneltrack.wire.LogClient
+import corneltrack.wire.LogPage
+import corneltrack.wire.ReadResult
+import corneltrack.wire.wireJson
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.encodeToString
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.ScheduledExecutorService
+import java.util.concurrent.TimeUnit
+
+private const val STREAM = "claims"
+private const val BATCH_DELAY_MS = 5L
+private const val BATCH_LIMIT = 500
+private const val READ_ATTEMPTS = 3
+
+/** Tells whether a claim won. */
+internal sealed interface ClaimResult {
+    /** The claim is the first of its key: its owner may run the request. */
+    data object Won : ClaimResult
+
+    /** Another claim of the key came first. */
+    data class Lost(val winner: Claim) : ClaimResult
+
+    /** The log did not tell; the claim may or may not be in it. */
+    data class Unavailable(val reason: String) : ClaimResult
+}
+
+/**
+ * Claims idempotency keys in the platform's log, many in one append.
+ *
+ * A claim is decided only after the stream has been read up to it, so that every router names the same winner. Where
+ * the answer to an append is lost, the stream is read to find out.
+ */
+internal class ClaimStream(
+    private val log: LogClient,
+    private val executor: ScheduledExecutorService,
+    retentionMs: Long,
+) {
+    private class Pending(val claim: Claim, val result: CompletableFuture<ClaimResult>)
+
+    private val table = ClaimTable(retentionMs)
+    private val pending = ArrayDeque<Pending>()
+    private var scheduled = false
+
+    /** Claims a key. Completes on any thread. */
+    fun claim(claim: Claim): CompletableFuture<ClaimResult> {
+        val result = CompletableFuture<ClaimResult>()
+        executor.execute {
+            val winner = table.winner(claim.key)
+            if (winner != null && winner.claimId != claim.supersedes) {
+                result.complete(ClaimResult.Lost(winner))
+            } else {
+                enqueue(Pending(claim, result))
+            }
+        }
+        return result
+    }
+
+    private fun enqueue(next: Pending) {
+        pending.addLast(next)
+        if (!scheduled) {
+            scheduled = true
+            executor.schedule(::flush, BATCH_DELAY_MS, TimeUnit.MILLISECONDS)
+        }
+    }
+
+    private fun flush() {
+        scheduled = false
+        val batch = generateSequence { pending.removeFirstOrNull() }.take(BATCH_LIMIT).toList()
+        if (pending.isNotEmpty()) {
+            scheduled = true
+            executor.schedule(::flush, BATCH_DELAY_MS, TimeUnit.MILLISECONDS)
+        }
+        val data = wireJson.encodeToString(batch.map { it.claim })
+        log.append(STREAM, data).whenCompleteAsync({ result, failure ->
+            when {
+                failure != null -> settle(batch, failure.toString())
+                result is AppendResult.Refused -> settle(batch, result.reason)
+                result is AppendResult.Appended -> readUpTo(batch, result.offset, READ_ATTEMPTS)
+                else -> readUpTo(batch, null, READ_ATTEMPTS)
+            }
+        }, executor)
+    }
+
+    /** Reads until [offset] has been folded, or, where it is unknown, to the present end of the stream. */
+    private fun readUpTo(batch: List<Pending>, offset: Long?, attempts: Int) {
+        if (offset != null && table.nextOffset > offset) {
+            settle(batch, "the claim is not in the stream")
+            return
+        }
+        log.read(STREAM, table.nextOffset).whenCompleteAsync({ result, _ ->
+            val page = (result as? ReadResult.Page)?.page
+            page?.let { fold(it) }
+            when {
+                page != null && offset == null && table.nextOffset >= page.next -> settle(batch, "append unanswered")
+                page != null && page.records.isNotEmpty() -> readUpTo(batch, offset, attempts)
+                attempts > 0 -> readUpTo(batch, offset, attempts - 1)
+                else -> settle(batch, "the log does not answer")
+            }
+        }, executor)
+    }
+
+    private fun fold(page: LogPage) {
+        page.records.forEach { table.apply(it.offset, decode(it.data)) }
+    }
+
+    private fun decode(data: String): List<Claim> =
+        try {
+            wireJson.decodeFromString<List<Claim>>(data)
+        } catch (_: SerializationException) {
+            emptyList()
+        }
+
+    private fun settle(batch: List<Pending>, reason: String) {
+        batch.forEach { waiting ->
+            val winner = table.winner(waiting.claim.key)
+            val result = when {
+                winner?.claimId == waiting.claim.claimId -> ClaimResult.Won
+                winner != null && winner.claimId != waiting.claim.supersedes -> ClaimResult.Lost(winner)
+                else -> ClaimResult.Unavailable(reason)
+            }
+            waiting.result.complete(result)
+        }
+    }
+}
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/ConfigurationReader.kt
@@ -0,0 +1,101 @@
+package corneltrack.router
+
+import corneltrack.wire.LogClient
+import corneltrack.wire.LogPage
+import corneltrack.wire.ReadResult
+import corneltrack.wire.event
+import corneltrack.wire.wireJson
+import corneltrack.world.Configuration
+import corneltrack.world.ConfigurationEntry
+import corneltrack.world.FoldResult
+import corneltrack.world.SnapshotRecord
+import corneltrack.world.StreamEntry
+import corneltrack.world.UnreadableEntry
+import corneltrack.world.fold
+import kotlinx.serialization.SerializationException
+import org.apache.logging.log4j.Level
+import org.apache.logging.log4j.LogManager
+import java.util.concurrent.ScheduledExecutorService
+import java.util.concurrent.TimeUnit
+
+/** The stream that holds the configuration. */
+public const val CONFIGURATION_STREAM: String = "configuration"
+
+private const val WAIT_MS = 5_000L
+private const val RETRY_MS = 500L
+private val logger = LogManager.getLogger("corneltrack.router.ConfigurationReader")
+
+/** Follows the configuration stream and publishes each state. */
+internal class ConfigurationReader(
+    private val log: LogClient,
+    private val views: RouterViews,
+    private val executor: ScheduledExecutorService,
+    private val clock: Clock,
+) {
+    @Volatile
+    private var lastAnswerMs: Long? = null
+
+    /** The offset of the last snapshot seen in the stream, or -1. */
+    @Volatile
+    var snapshotOffset: Long = -1
+        private set
+
+    /** Returns how long ago the log last answered, in ms, or null where it never has. */
+    fun silenceMs(nowMs: Long): Long? = lastAnswerMs?.let { nowMs - it }
+
+    /** Starts to follow the stream. */
+    fun start() = read(0)
+
+    private fun read(waitMs: Long) {
+        val from = views.current.configuration.offset + 1
+        log.read(CONFIGURATION_STREAM, from, waitMs).whenCompleteAsync({ result, _ ->
+            val page = (result as? ReadResult.Page)?.page
+            if (page == null) {
+                executor.schedule({ read(0) }, RETRY_MS, TimeUnit.MILLISECONDS)
+            } else {
+                lastAnswerMs = clock()
+                val moved = apply(page)
+                if (moved || page.records.isEmpty()) read(WAIT_MS) else retryLater()
+            }
+        }, executor)
+    }
+
+    private fun retryLater() {
+        executor.schedule({ read(0) }, RETRY_MS, TimeUnit.MILLISECONDS)
+    }
+
+    private fun apply(page: LogPage): Boolean {
+        val entries = page.records.map { StreamEntry(it.offset, decode(it.offset, it.data)) }
+        entries.lastOrNull { it.entry is SnapshotRecord }?.let { snapshotOffset = it.offset }
+        val result = views.current.configuration.fold(entries, page.oldest)
+        if (result is FoldResult.Gap) {
+            logger.event("configuration_gap", Level.ERROR) {
+                field("have", result.have)
+                field("oldest", result.oldest)
+            }
+        }
+        return result is FoldResult.Folded && publish(result.configuration)
+    }
+
+    private fun publish(configuration: Configuration): Boolean {
+        val published = views.publish(configuration)
+        if (published) {
+            logger.event("configuration_applied") {
+                field("offset", configuration.offset)
+                field("version", configuration.version)
+            }
+        }
+        return published
+    }
+
+    private fun decode(offset: Long, data: String): ConfigurationEntry =
+        try {
+            wireJson.decodeFromString<ConfigurationEntry>(data)
+        } catch (fault: SerializationException) {
+            logger.event("configuration_unreadable", Level.ERROR) {
+                field("offset", offset)
+                field("reason", fault.message)
+            }
+            UnreadableEntry
+        }
+}
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/ControlSurface.kt
@@ -0,0 +1,98 @@
+package corneltrack.router
+
+import corneltrack.policy.ExchangeRequest
+import corneltrack.policy.ServiceSummary
+import corneltrack.policy.Suspicion
+import corneltrack.wire.ControlRequest
+import corneltrack.wire.ControlResponse
+import corneltrack.wire.RouterStatus
+import corneltrack.wire.errorResponse
+import corneltrack.wire.jsonResponse
+import corneltrack.wire.wireJson
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.QueryStringDecoder
+import kotlinx.serialization.SerializationException
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.Executor
+
+private const val MAXIMUM_WAIT_MS = 10_000L
+private const val TEXT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+
+/** The paths that need no secret. */
+internal val OPEN_PATHS: Set<String> = setOf("/live", "/ready")
+
+/** What the control surface of a router answers from. */
+internal interface ControlSource {
+    val ready: Boolean
+
+    fun status(): RouterStatus
+
+    fun metrics(): String
+}
+
+/** Answers peers and operators. Whatever touches allocators runs on [control]. */
+internal class ControlSurface(
+    private val source: ControlSource,
+    private val duty: AllocatorDuty,
+    private val views: RouterViews,
+    private val ledger: ClaimLedger,
+    private val crashes: CrashReports,
+    private val control: Executor,
+) {
+    /** Answers one request. */
+    fun handle(request: ControlRequest): CompletableFuture<ControlResponse> =
+        try {
+            if (request.method == HttpMethod.POST) post(request) else get(request)
+        } catch (fault: SerializationException) {
+            errorResponse(HttpResponseStatus.BAD_REQUEST, fault.message.orEmpty().lineSequence().first())
+        }
+
+    private fun get(request: ControlRequest): CompletableFuture<ControlResponse> {
+        val path = request.path.substringBefore('?')
+        return when {
+            path == "/live" -> jsonResponse(true)
+            path == "/ready" -> ready()
+            path == "/metrics" -> onControl { ControlResponse(HttpResponseStatus.OK, source.metrics(), TEXT_TYPE) }
+            path == "/status" -> onControl { jsonResponse(source.status()).join() }
+            path == CONFIGURATION_PATH -> jsonResponse(views.current.configuration)
+            path.startsWith(CLAIM_PATH) -> claim(request)
+            else -> notFound(path)
+        }
+    }
+
+    private fun post(request: ControlRequest): CompletableFuture<ControlResponse> = when (request.path) {
+        EXCHANGE_PATH -> {
+            val report = wireJson.decodeFromString<ExchangeRequest>(request.body)
+            onControl { jsonResponse(duty.exchange(report)).join() }
+        }
+        SUMMARY_PATH -> {
+            val summaries = wireJson.decodeFromString<List<ServiceSummary>>(request.body)
+            onControl {
+                summaries.forEach { duty.onSummary(it) }
+                ControlResponse(HttpResponseStatus.OK)
+            }
+        }
+        SUSPICION_PATH -> {
+            crashes.onShared(wireJson.decodeFromString<Suspicion>(request.body))
+            jsonResponse(true)
+        }
+        else -> notFound(request.path)
+    }
+
+    private fun ready(): CompletableFuture<ControlResponse> =
+        if (source.ready) jsonResponse(true) else errorResponse(HttpResponseStatus.SERVICE_UNAVAILABLE, "not ready")
+
+    private fun claim(request: ControlRequest): CompletableFuture<ControlResponse> {
+        val query = QueryStringDecoder(request.path)
+        val waitMs = query.parameters()["waitMs"]?.firstOrNull()?.toLongOrNull() ?: 0
+        return ledger.outcome(query.path().removePrefix(CLAIM_PATH), waitMs.coerceIn(0, MAXIMUM_WAIT_MS))
+            .thenCompose { jsonResponse(it) }
+    }
+
+    private fun notFound(path: String): CompletableFuture<ControlResponse> =
+        errorResponse(HttpResponseStatus.NOT_FOUND, "no such path: $path")
+
+    private fun onControl(answer: () -> ControlResponse): CompletableFuture<ControlResponse> =
+        CompletableFuture.supplyAsync({ answer() }, control)
+}
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/CrashReports.kt
@@ -0,0 +1,84 @@
+package corneltrack.router
+
+import corneltrack.policy.Quarantine
+import corneltrack.policy.Suspicion
+import corneltrack.wire.event
+import corneltrack.world.Endpoint
+import corneltrack.world.EndpointId
+import org.apache.logging.log4j.Level
+import org.apache.logging.log4j.LogManager
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.ConcurrentHashMap
+
+private const val YOUNG_UPTIME_MS = 5_000L
+private const val SHARED_PROBE_MS = 1_000L
+private const val QUARANTINE_MS = 600_000L
+private val logger = LogManager.getLogger("corneltrack.router.CrashReports")
+
+/**
+ * Finds out whether a broken connection was a crash of its endpoint, and which requests were running there.
+ *
+ * A break counts as a crash only where the endpoint is found down or newly started, so that a fault of the network
+ * throws no suspicion on a request.
+ *
+ * @param share tells the other routers of a suspicion.
+ */
+internal class CrashReports(
+    private val loads: EndpointLoadClient,
+    private val clock: Clock,
+    private val time: Clock,
+    private val share: (Suspicion) -> Unit,
+) : Suspects {
+    private class Probe(val atMs: Long, val crashed: CompletableFuture<Boolean>)
+
+    private val probes = ConcurrentHashMap<EndpointId, Probe>()
+    private val quarantine = Quarantine(QUARANTINE_MS)
+
+    /** Probes [endpoint] after a break and, where it crashed, suspects [fingerprint]. Completes once that is known. */
+    fun assess(fingerprint: String, endpoint: Endpoint): CompletableFuture<Boolean> {
+        val nowMs = clock()
+        val probe = probes.compute(endpoint.id) { _, known ->
+            val recent = known?.takeIf { nowMs - it.atMs < SHARED_PROBE_MS }
+            recent ?: Probe(nowMs, loads.ask(endpoint).thenApply(::crashed))
+        }
+        return probe!!.crashed.thenApply { crashed ->
+            if (crashed) suspect(Suspicion(fingerprint, endpoint.id, "${endpoint.id}@${probe.atMs}", time()))
+            crashed
+        }
+    }
+
+    /** Takes in a suspicion that another router has shared. */
+    @Synchronized
+    fun onShared(suspicion: Suspicion) {
+        quarantine.onSuspicion(suspicion, time())
+    }
+
+    @Synchronized
+    fun isQuarantined(fingerprint: String): Boolean = quarantine.isQuarantined(fingerprint, time())
+
+    /** Returns the fingerprints in quarantine. */
+    @Synchronized
+    fun quarantined(): Set<String> = quarantine.quarantined(time())
+
+    @Synchronized
+    override fun isSuspect(fingerprint: String): Boolean = quarantine.isSuspect(fingerprint, time())
+
+    @Synchronized
+    override fun endpointsOf(fingerprint: String): Set<EndpointId> = quarantine.endpointsOf(fingerprint, time())
+
+    private fun suspect(suspicion: Suspicion) {
+        val quarantined = synchronized(this) { quarantine.onSuspicion(suspicion, time()) }
+        logger.event("request_suspected", Level.WARN) {
+            field("fingerprint", suspicion.fingerprint)
+            field("endpoint", suspicion.endpoint)
+            field("quarantined", quarantined)
+        }
+        share(suspicion)
+    }
+
+    private fun crashed(answer: LoadAnswer): Boolean = when (answer) {
+        is LoadAnswer.Down -> true
+        is LoadAnswer.Known -> answer.load.uptimeMs < YOUNG_UPTIME_MS
+        is LoadAnswer.Unknown -> false
+    }
+}
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/EndpointChooser.kt
@@ -0,0 +1,46 @@
+package corneltrack.router
+
+import corneltrack.world.EndpointId
+
+/** Tells whether a request was running where an endpoint crashed, and where. */
+internal interface Suspects {
+    fun isSuspect(fingerprint: String): Boolean
+
+    fun endpointsOf(fingerprint: String): Set<EndpointId>
+}
+
+/**
+ * Chooses among endpoints with a free slot.
+ *
+ * A suspect never runs beside another suspect, so that a second crash names the right one, and never returns to an
+ * endpoint that crashed under it. Not thread-safe; owned by the pool's scheduler.
+ */
+internal class EndpointChooser(private val suspects: Suspects) {
+    private val suspectsRunning = HashMap<EndpointId, Int>()
+    private val running = HashMap<RoutedRequest, Boolean>()
+
+    /** Returns an endpoint of [free] for [request], or null where none fits. */
+    operator fun invoke(request: RoutedRequest, free: Map<EndpointId, Int>): EndpointId? {
+        val fingerprint = request.identity.fingerprint
+        val suspect = suspects.isSuspect(fingerprint)
+        val crashed = if (suspect) suspects.endpointsOf(fingerprint) else emptySet()
+        val untried = free.filterKeys { it !in request.tried && it !in crashed }
+        val fitting = (if (suspect) untried else untried.ifEmpty { free })
+            .filterKeys { !suspect || (suspectsRunning[it] ?: 0) == 0 }
+        return fitting.maxWithOrNull(compareBy({ it.value }, { it.key }))?.key
+    }
+
+    fun onStart(request: RoutedRequest, endpoint: EndpointId) {
+        val suspect = suspects.isSuspect(request.identity.fingerprint)
+        running[request] = suspect
+        if (suspect) {
+            suspectsRunning.merge(endpoint, 1, Int::plus)
+        }
+    }
+
+    fun onEnd(request: RoutedRequest, endpoint: EndpointId) {
+        if (running.remove(request) == true) {
+            suspectsRunning.computeIfPresent(endpoint) { _, count -> if (count > 1) count - 1 else null }
+        }
+    }
+}
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/EndpointConnections.kt
@@ -0,0 +1,91 @@
+package corneltrack.router
+
+import corneltrack.wire.CountingHandler
+import corneltrack.wire.HostAndPort
+import corneltrack.world.Endpoint
+import corneltrack.world.EndpointId
+import io.netty.bootstrap.Bootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoop
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.util.AttributeKey
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ConcurrentLinkedDeque
+
+private const val CONNECT_TIMEOUT_MS = 1_000
+private const val IDLE_LIMIT_MS = 10_000L
+private const val AGE_LIMIT_MS = 300_000L
+private const val KEPT_PER_LOOP = 64
+private val BORN = AttributeKey.valueOf<Long>("corneltrack.born")
+private val IDLE_SINCE = AttributeKey.valueOf<Long>("corneltrack.idleSince")
+
+/** Counts the bytes of requests and answers exchanged with an endpoint. */
+internal typealias RequestTraffic = (endpoint: Endpoint, sent: Long, received: Long) -> Unit
+
+/**
+ * Keeps idle connections to endpoints, apart for each event loop so that a request stays on one thread.
+ *
+ * Connections are not kept past an age and an idle time, so that one which something in between has forgotten does not
+ * linger.
+ */
+internal class EndpointConnections(private val traffic: RequestTraffic) {
+    private data class Key(val loop: EventLoop, val endpoint: EndpointId, val address: String)
+
+    private val idle = ConcurrentHashMap<Key, ConcurrentLinkedDeque<Channel>>()
+
+    /** Returns a kept connection that is still good, or null. */
+    fun take(loop: EventLoop, endpoint: Endpoint, nowMs: Long): Channel? {
+        val queue = idle[Key(loop, endpoint.id, endpoint.address)] ?: return null
+        return generateSequence { queue.pollFirst() }.firstOrNull { it.isFresh(nowMs) }
+    }
+
+    /** Opens a new connection. */
+    fun connect(loop: EventLoop, endpoint: Endpoint, nowMs: Long): ChannelFuture {
+        val address = HostAndPort.parse(endpoint.address) ?: HostAndPort("0.0.0.0", 0)
+        return Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel::class.java)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+            .attr(BORN, nowMs)
+            .handler(object : ChannelInitializer<SocketChannel>() {
+                override fun initChannel(channel: SocketChannel) {
+                    channel.pipeline().addLast(
+                        CountingHandler { sent, received -> traffic(endpoint, sent, received) },
+                        HttpClientCodec(),
+                    )
+                }
+            })
+            .connect(address.toSocketAddress())
+    }
+
+    /** Keeps an idle connection for later requests. */
+    fun keep(channel: Channel, endpoint: Endpoint, nowMs: Long) {
+        val loop = channel.eventLoop() as EventLoop
+        val queue = idle.computeIfAbsent(Key(loop, endpoint.id, endpoint.address)) { ConcurrentLinkedDeque() }
+        channel.attr(IDLE_SINCE).set(nowMs)
+        channel.config().isAutoRead = true
+        if (queue.size < KEPT_PER_LOOP) queue.addFirst(channel) else channel.close()
+    }
+
+    /** Closes the kept connections of [endpoint], after one of them broke or fell silent. */
+    fun discard(endpoint: EndpointId) {
+        idle.filterKeys { it.endpoint == endpoint }.values.forEach { queue ->
+            generateSequence { queue.pollFirst() }.forEach { it.close() }
+        }
+    }
+
+    private fun Channel.isFresh(nowMs: Long): Boolean {
+        val young = nowMs - attr(BORN).get() < AGE_LIMIT_MS && nowMs - attr(IDLE_SINCE).get() < IDLE_LIMIT_MS
+        val fresh = isActive && young
+        if (!fresh) {
+            close()
+        }
+        return fresh
+    }
+}
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/EndpointLoad.kt
@@ -0,0 +1,58 @@
+package corneltrack.router
+
+import corneltrack.wire.ControlClient
+import corneltrack.wire.ControlRequest
+import corneltrack.wire.ControlResult
+import corneltrack.wire.wireJson
+import corneltrack.world.Endpoint
+import io.netty.handler.codec.http.HttpMethod
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import java.util.concurrent.CompletableFuture
+
+private const val LOAD_TIMEOUT_MS = 1_000L
+
+/**
+ * What an endpoint publishes at `GET /load`, with a lag.
+ *
+ * @property incarnation changes whenever the endpoint's process starts anew.
+ * @property running the requests in flight.
+ * @property cold whether the endpoint is in cold start.
+ * @property uptimeMs the time since the process started, in ms.
+ */
+@Serializable
+public data class EndpointLoad(
+    val incarnation: String,
+    val running: Int,
+    val cold: Boolean = false,
+    val uptimeMs: Long = Long.MAX_VALUE,
+)
+
+/** Tells what came of asking an endpoint for its load. */
+internal sealed interface LoadAnswer {
+    data class Known(val load: EndpointLoad) : LoadAnswer
+
+    /** Nothing listens at the endpoint's address. */
+    data object Down : LoadAnswer
+
+    data object Unknown : LoadAnswer
+}
+
+/** Asks endpoints for their load. */
+internal class EndpointLoadClient(private val client: ControlClient) {
+    fun ask(endpoint: Endpoint): CompletableFuture<LoadAnswer> =
+        client.send(endpoint.address, ControlRequest(HttpMethod.GET, "/load"), LOAD_TIMEOUT_MS).thenApply(::answer)
+
+    private fun answer(result: ControlResult): LoadAnswer = when (result) {
+        is ControlResult.NotSent -> LoadAnswer.Down
+        is ControlResult.Lost -> LoadAnswer.Unknown
+        is ControlResult.Answered -> if (result.ok) decode(result.body) else LoadAnswer.Unknown
+    }
+
+    private fun decode(body: String): LoadAnswer =
+        try {
+            LoadAnswer.Known(wireJson.decodeFromString<EndpointLoad>(body))
+        } catch (_: SerializationException) {
+            LoadAnswer.Unknown
+        }
+}
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/ExchangePlanner.kt
@@ -0,0 +1,90 @@
+package corneltrack.router
+
+import corneltrack.policy.LeaseTimes
+import corneltrack.policy.Support
+import corneltrack.policy.rendezvous
+import corneltrack.world.Cell
+import corneltrack.world.Instance
+import corneltrack.world.InstanceId
+import corneltrack.world.MemberState
+
+private const val AVOID_MS = 5_000L
+
+/** Tells whose slots of [cell] this router asks for, and whether it supports that allocator. */
+internal class PlannedReport(
+    val cell: Cell,
+    val allocator: Instance,
+    val supports: Boolean,
+    val home: Boolean,
+)
+
+/**
+ * Decides, cell by cell, which allocator this router turns to.
+ *
+ * In cells of its home group a router supports one allocator at a time. Not thread-safe.
+ *
+ * @param self this router.
+ * @param startMs when this incarnation began.
+ */
+internal class ExchangePlanner(
+    private val self: InstanceId,
+    private val times: LeaseTimes,
+    private val startMs: Long,
+    private val wantsRemote: (Cell) -> Boolean,
+) {
+    private val supports = HashMap<Cell, Support>()
+    private val avoidedUntil = HashMap<InstanceId, Long>()
+
+    /** Returns whom to report to about each cell. */
+    fun plan(view: RouterView, nowMs: Long): List<PlannedReport> =
+        view.endpointsByCell.keys
+            .filter { it.pool in view.configuration.pools }
+            .mapNotNull { plan(it, view, nowMs) }
+
+    /** Returns whether grants of [allocator] may be used in a home cell. */
+    fun isSupported(cell: Cell, allocator: InstanceId): Boolean = supports[cell]?.current == allocator
+
+    /** Records that reports with support leave for their allocator. */
+    fun onSent(reports: List<PlannedReport>, nowMs: Long) {
+        reports.filter { it.supports }.forEach { supports.getValue(it.cell).extend(it.allocator.id, nowMs) }
+    }
+
+    /** Turns away from an allocator that does not answer. */
+    fun avoid(allocator: InstanceId, nowMs: Long) {
+        avoidedUntil[allocator] = nowMs + AVOID_MS
+    }
+
+    /** Turns away from an allocator that is leaving, whose leases have all ended after [releaseMs]. */
+    fun onRelease(allocator: InstanceId, releaseMs: Long, nowMs: Long) {
+        supports.values.forEach { it.release(allocator, nowMs + releaseMs) }
+        avoid(allocator, nowMs)
+    }
+
+    private fun plan(cell: Cell, view: RouterView, nowMs: Long): PlannedReport? {
+        val group = view.home(cell)
+        val desired = pick(cell, group, view, nowMs)
+        return when {
+            desired == null -> null
+            group.any { it.id == self } -> planHome(cell, desired, view, nowMs)
+            else -> PlannedReport(cell, desired, supports = false, home = false).takeIf { wantsRemote(cell) }
+        }
+    }
+
+    private fun planHome(cell: Cell, desired: Instance, view: RouterView, nowMs: Long): PlannedReport? {
+        val support = supports.getOrPut(cell) { Support(times, startMs) }
+        if (support.allows(desired.id, nowMs)) {
+            return PlannedReport(cell, desired, supports = true, home = true)
+        }
+        val former = support.current?.let { view.instances[it] }?.takeIf { !avoided(it.id, nowMs) }
+        return former?.let { PlannedReport(cell, it, supports = false, home = true) }
+    }
+
+    private fun pick(cell: Cell, group: List<Instance>, view: RouterView, nowMs: Long): Instance? {
+        val live = group.filter { it.state == MemberState.LIVE }
+        val inService = live.filter { !view.configuration.isOut(it) }.ifEmpty { live }
+        val reachable = inService.filter { !avoided(it.id, nowMs) }.ifEmpty { inService }
+        return rendezvous(cell.toString(), reachable) { it.id.value }
+    }
+
+    private fun avoided(id: InstanceId, nowMs: Long): Boolean = (avoidedUntil[id] ?: Long.MIN_VALUE) > nowMs
+}
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/Exchanger.kt
@@ -0,0 +1,166 @@
+package corneltrack.router
+
+import corneltrack.policy.CellGrant
+import corneltrack.policy.ExchangeRequest
+import corneltrack.policy.ExchangeResponse
+import corneltrack.policy.Lease
+import corneltrack.policy.LeaseTimes
+import corneltrack.world.Cell
+import corneltrack.world.Instance
+import corneltrack.world.InstanceId
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.ScheduledExecutorService
+
+private const val ACTIVE_PERIOD_MS = 100L
+private const val IDLE_PERIOD_MS = 500L
+private const val REMOTE_PERIOD_MS = 2_000L
+private const val URGENT_PERIOD_MS = 20L
+private const val FAILURES_TO_AVOID = 2
+
+/** What this router remembers of one allocator. */
+private class AllocatorLink {
+    var incarnation: String? = null
+    var token: String? = null
+    var sentMs = Long.MIN_VALUE / 2
+    var open = false
+    var failures = 0
+    val cells = HashMap<Cell, CellMemory>()
+}
+
+/**
+ * Exchanges reports and grants with the allocators of all cells that this router works with.
+ *
+ * Only used on the control thread.
+ *
+ * @param local answers reports to this router itself.
+ */
+internal class Exchanger(
+    private val parts: RouterParts,
+    private val incarnation: String,
+    private val times: LeaseTimes,
+    private val control: ScheduledExecutorService,
+    private val local: (ExchangeRequest) -> ExchangeResponse,
+    private val onPeerAhead: (Instance) -> Unit,
+) {
+    private val links = HashMap<InstanceId, AllocatorLink>()
+    private val planner = ExchangePlanner(parts.settings.id, times, parts.clock(), ::wantsRemote)
+
+    /** Sends the reports that are due. */
+    fun tick() {
+        val nowMs = parts.clock()
+        planner.plan(parts.views.current, nowMs)
+            .groupBy { it.allocator }
+            .forEach { (allocator, cells) -> sendIfDue(allocator, cells, nowMs) }
+    }
+
+    private fun wantsRemote(cell: Cell): Boolean {
+        val snapshot = parts.runner.scheduler(cell.pool).snapshot(parts.clock())
+        return snapshot.overdue.isNotEmpty() || snapshot.runningByCell[cell].orEmpty().isNotEmpty()
+    }
+
+    private fun sendIfDue(allocator: Instance, cells: List<PlannedReport>, nowMs: Long) {
+        val link = links.getOrPut(allocator.id) { AllocatorLink() }
+        if (link.open || nowMs - link.sentMs < period(link, cells, nowMs)) {
+            return
+        }
+        link.open = true
+        link.sentMs = nowMs
+        planner.onSent(cells, nowMs)
+        val request = request(link, cells, nowMs)
+        val answer = if (allocator.id == parts.settings.id) {
+            CompletableFuture.completedFuture<ExchangeResponse?>(local(request))
+        } else {
+            parts.peers.exchange(allocator, request)
+        }
+        answer.whenCompleteAsync({ response, _ -> onAnswer(allocator, cells, request, response, nowMs) }, control)
+    }
+
+    private fun period(link: AllocatorLink, cells: List<PlannedReport>, nowMs: Long): Long {
+        val snapshots = cells.map { it to parts.runner.scheduler(it.cell.pool).snapshot(nowMs) }
+        val home = snapshots.filter { it.first.home }
+        val newlyWaiting = home.any { (plan, snapshot) ->
+            snapshot.waiting.isNotEmpty() && link.cells[plan.cell]?.waitingSent != true
+        }
+        return when {
+            link.token == null || newlyWaiting -> URGENT_PERIOD_MS
+            home.any { it.second.waiting.isNotEmpty() || it.second.running.isNotEmpty() } -> ACTIVE_PERIOD_MS
+            home.isNotEmpty() -> IDLE_PERIOD_MS
+            else -> REMOTE_PERIOD_MS
+        }
+    }
+
+    private fun request(link: AllocatorLink, cells: List<PlannedReport>, nowMs: Long): ExchangeRequest {
+        val view = parts.views.current
+        return ExchangeRequest(
+            from = parts.settings.id,
+            incarnation = incarnation,
+            echo = link.token,
+            configurationOffset = view.configuration.offset,
+            cells = cells.map { plan ->
+                val memory = link.cells.getOrPut(plan.cell) { CellMemory() }
+                val scheduler = parts.runner.scheduler(plan.cell.pool)
+                val endpoints = view.endpointsByCell[plan.cell].orEmpty().mapTo(HashSet()) { it.id }
+                val outcomes = parts.runner.outcomes.take(endpoints)
+                val served = scheduler.meter.served(plan.cell)
+                val sources =
+                    ReportSources(scheduler.snapshot(nowMs), served, endpoints, outcomes, scheduler.meanCost())
+                cellReport(plan.cell, plan.supports, plan.home, memory, sources)
+            },
+        )
+    }
+
+    private fun onAnswer(
+        allocator: Instance,
+        cells: List<PlannedReport>,
+        request: ExchangeRequest,
+        response: ExchangeResponse?,
+        sentMs: Long,
+    ) {
+        val link = links.getValue(allocator.id)
+        link.open = false
+        if (response == null) {
+            request.cells.forEach { parts.runner.outcomes.putBack(it.outcomes) }
+            onFailure(allocator, link)
+            return
+        }
+        link.failures = 0
+        if (link.incarnation != response.incarnation) {
+            link.incarnation = response.incarnation
+            link.cells.values.forEach { it.restart() }
+        } else {
+            request.cells.forEach { link.cells.getValue(it.cell).onDelivered(it.workspaces) }
+        }
+        link.token = response.token
+        if (response.configurationOffset > parts.views.current.configuration.offset) {
+            onPeerAhead(allocator)
+        }
+        response.grants.forEach { grant ->
+            cells.firstOrNull { it.cell == grant.cell }?.let { onGrant(it, link, grant, sentMs) }
+        }
+        response.releaseMs?.let { planner.onRelease(allocator.id, it, parts.clock()) }
+    }
+
+    private fun onFailure(allocator: Instance, link: AllocatorLink) {
+        link.failures++
+        if (link.failures >= FAILURES_TO_AVOID) {
+            planner.avoid(allocator.id, parts.clock())
+            link.failures = 0
+            link.token = null
+        }
+    }
+
+    private fun onGrant(plan: PlannedReport, link: AllocatorLink, grant: CellGrant, sentMs: Long) {
+        val memory = link.cells.getValue(grant.cell)
+        val current = memory.accept(grant)
+        if (!current || plan.home && !planner.isSupported(grant.cell, plan.allocator.id)) {
+            return
+        }
+        val lease = Lease(grant.cell, plan.allocator.id, grant.slots, sentMs + grant.leaseMs, plan.home)
+        val virtual = grant.virtual.takeIf { plan.home }
+        parts.runner.scheduler(grant.cell.pool).onLease(lease, virtual, grant.deferred, parts.clock())
+    }
+}
+
+private fun CellMemory.onDelivered(workspaces: List<corneltrack.policy.WorkspaceReport>) {
+    servedSent = servedSent + workspaces.associate { it.workspace to it.served }
+}
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/Gateway.kt
@@ -0,0 +1,147 @@
+package corneltrack.router
+
+import corneltrack.world.Pool
+import corneltrack.world.PoolKind
+import io.netty.channel.EventLoop
+import io.netty.handler.codec.http.HttpResponseStatus
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.encodeToString
+import kotlinx.serialization.json.Json
+import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.atomic.AtomicLong
+
+private val modelJson = Json { encodeDefaults = true }
+
+@Serializable
+internal data class ModelList(val data: List<ModelEntry>, val `object`: String = "list")
+
+@Serializable
+internal data class ModelEntry(
+    val id: String,
+    val `object`: String = "model",
+    @SerialName("owned_by") val ownedBy: String = "corneltrack",
+)
+
+/** Takes callers' complete requests in and hands them to the runner, or answers them at once. */
+internal class Gateway(
+    private val views: RouterViews,
+    private val settings: RouterSettings,
+    private val runner: RequestRunner,
+    private val keyed: KeyedRequests,
+    private val clock: Clock,
+) {
+    private val draining = AtomicBoolean()
+    private val heldBytes = AtomicLong()
+
+    /** Refuses all further requests. */
+    fun drain() {
+        draining.set(true)
+    }
+
+    /** Handles one request and returns what cancels it. */
+    fun handle(request: CallerRequest, loop: EventLoop, sink: AnswerSink): () -> Unit {
+        if (draining.get()) {
+            sink.refuse(LEAVING)
+            return {}
+        }
+        return when (val admission = admit(request, views.current)) {
+            is Admission.Refused -> sink.refuse(admission.refusal).let { {} }
+            is Admission.Models -> answerModels(admission.models, sink).let { {} }
+            is Admission.Accepted -> accept(request, admission, loop, sink)
+        }
+    }
+
+    private fun accept(
+        request: CallerRequest,
+        admission: Admission.Accepted,
+        loop: EventLoop,
+        sink: AnswerSink,
+    ): () -> Unit {
+        val size = request.body.size.toLong()
+        if (heldBytes.addAndGet(size) > settings.limits.queuedBytes) {
+            heldBytes.addAndGet(-size)
+            sink.refuse(TOO_MANY_BYTES)
+            return {}
+        }
+        val releasing = ReleasingSink(sink) { heldBytes.addAndGet(-size) }
+        val routed = routed(request, admission, loop, releasing)
+        if (admission.idempotencyKey == null) {
+            runner.submit(routed)
+        } else {
+            keyed.submit(routed, admission.idempotencyKey)
+        }
+        (sink as? CallerAnswer)?.onWritable = { routed.attempt?.onWritable(it) }
+        return {
+            releasing.release()
+            if (admission.idempotencyKey == null) runner.cancel(routed) else routed.onCallerGone()
+        }
+    }
+
+    private fun routed(
+        request: CallerRequest,
+        admission: Admission.Accepted,
+        loop: EventLoop,
+        sink: AnswerSink,
+    ): RoutedRequest {
+        val head = request.head
+        val nowMs = clock()
+        val line = "${admission.workspace} ${head.method()} ${head.uri()}"
+        val fingerprint = digest(line.toByteArray(), request.body)
+        val repeatable = admission.idempotencyKey == null && admission.pool.mayRepeat(head.method().name())
+        return RoutedRequest(
+            RequestIdentity(admission.id, admission.workspace, admission.pool, fingerprint),
+            RequestTimes(nowMs, nowMs + admission.deadlineMs),
+            repeatable,
+            OutgoingMessage(head.method(), head.uri(), head.headers().forEndpoint(admission.id), request.body),
+            loop,
+            sink,
+        )
+    }
+
+    private fun answerModels(models: List<Pool>, sink: AnswerSink) {
+        val entries = models.map { ModelEntry(it.id.value) }.sortedBy { it.id }
+        (sink as? CallerAnswer)?.answer(modelJson.encodeToString(ModelList(entries)))
+    }
+}
+
+private fun Pool.mayRepeat(method: String): Boolean = kind == PoolKind.MODEL || method in repeatableMethods
+
+/** Runs [onRelease] once when the answer has ended in any way. */
+private class ReleasingSink(private val sink: AnswerSink, private val onRelease: () -> Unit) : AnswerSink by sink {
+    private val released = AtomicBoolean()
+
+    fun release() {
+        if (released.compareAndSet(false, true)) {
+            onRelease()
+        }
+    }
+
+    override fun end() {
+        release()
+        sink.end()
+    }
+
+    override fun refuse(refusal: Refusal) {
+        release()
+        sink.refuse(refusal)
+    }
+
+    override fun abort(reason: String) {
+        release()
+        sink.abort(reason)
+    }
+}
+
+private val LEAVING = Refusal(
+    HttpResponseStatus.SERVICE_UNAVAILABLE,
+    "leaving",
+    "This router is shutting down.",
+    retryAfterSeconds = 1,
+)
+private val TOO_MANY_BYTES = Refusal(
+    HttpResponseStatus.SERVICE_UNAVAILABLE,
+    "too_many_bytes",
+    "Too many bytes of requests are waiting.",
+    retryAfterSeconds = 1,
+)
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/Headers.kt
@@ -0,0 +1,47 @@
+package corneltrack.router
+
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaders
+
+/** Headers that hold for one connection only and are never passed on. */
+internal val HOP_HEADERS: List<CharSequence> = listOf(
+    HttpHeaderNames.CONNECTION,
+    "keep-alive",
+    HttpHeaderNames.PROXY_AUTHENTICATE,
+    HttpHeaderNames.PROXY_AUTHORIZATION,
+    HttpHeaderNames.TE,
+    HttpHeaderNames.TRAILER,
+    HttpHeaderNames.TRANSFER_ENCODING,
+    HttpHeaderNames.UPGRADE,
+    "proxy-connection",
+    OUTCOME_HEADER,
+)
+
+private const val INTERNAL_PREFIX = "x-corneltrack-"
+private val PRIVATE_HEADERS = listOf(
+    HttpHeaderNames.AUTHORIZATION,
+    HttpHeaderNames.COOKIE,
+    HttpHeaderNames.CONTENT_LENGTH,
+    HttpHeaderNames.HOST,
+    HttpHeaderNames.EXPECT,
+    REQUEST_ID_HEADER,
+    API_KEY_HEADER,
+)
+
+/** The header that names a request in logs and answers. */
+internal const val REQUEST_ID_HEADER: String = "x-request-id"
+
+/** The header that proves the workspace where no bearer token does. */
+internal const val API_KEY_HEADER: String = "x-api-key"
+
+/** Returns the headers to send on to an endpoint: without the caller's secrets and what it may not set. */
+internal fun HttpHeaders.forEndpoint(requestId: String): HttpHeaders {
+    val named = getAll(
+        HttpHeaderNames.CONNECTION
+    ).flatMap { it.split(',') }.map { it.trim() }.filter { it.isNotEmpty() }
+    val passed = DefaultHttpHeaders().set(this)
+    (HOP_HEADERS + PRIVATE_HEADERS + named).forEach { passed.remove(it.toString()) }
+    names().filter { it.lowercase().startsWith(INTERNAL_PREFIX) }.forEach { passed.remove(it) }
+    return passed.set(REQUEST_ID_HEADER, requestId)
+}
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/KeyedRequests.kt
@@ -0,0 +1,141 @@
+package corneltrack.router
+
+import corneltrack.policy.Claim
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpVersion
+import java.util.Base64
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.atomic.AtomicLong
+
+private const val POLL_MS = 1_000L
+
+/**
+ * Runs each request with an idempotency key at most once in the fleet.
+ *
+ * The key is claimed in the platform's log. A repeat waits for the first one's answer and gets the same; where the
+ * first one's router is gone, the repeat is told that the outcome is unknown.
+ */
+internal class KeyedRequests(
+    private val parts: RouterParts,
+    private val incarnation: String,
+    private val claims: ClaimStream,
+    private val time: Clock,
+) {
+    val ledger = ClaimLedger()
+    private val sequence = AtomicLong()
+
+    /** Claims [key] for [request] and runs it, or answers it as the repeat that it is. */
+    fun submit(request: RoutedRequest, key: String) = claim(request, newClaim(request, key))
+
+    private fun newClaim(request: RoutedRequest, key: String): Claim {
+        val identity = request.identity
+        val owner = "${identity.workspace} ${identity.pool.id}"
+        return Claim(
+            key = digest(owner.toByteArray(), key.toByteArray()),
+            claimId = "$incarnation-${sequence.incrementAndGet()}",
+            owner = parts.settings.id,
+            incarnation = incarnation,
+            digest = identity.fingerprint,
+            atMs = time(),
+        )
+    }
+
+    private fun claim(request: RoutedRequest, claim: Claim) {
+        ledger.begin(claim.claimId)
+        claims.claim(claim).whenCompleteAsync({ result, failure ->
+            when {
+                failure != null -> refuseUnclaimed(request, claim, failure.toString())
+                result is ClaimResult.Won -> run(request, claim)
+                result is ClaimResult.Lost -> repeat(request, claim, result.winner)
+                result is ClaimResult.Unavailable -> refuseUnclaimed(request, claim, result.reason)
+            }
+        }, request.eventLoop)
+    }
+
+    private fun refuseUnclaimed(request: RoutedRequest, claim: Claim, reason: String) {
+        ledger.end(claim.claimId, ClaimOutcome(ClaimState.NOT_RUN))
+        request.sink.refuse(LOG_UNAVAILABLE.copy(message = "The key could not be claimed: $reason."))
+    }
+
+    private fun run(request: RoutedRequest, claim: Claim) {
+        val recording = RecordingSink(request.sink) { ledger.end(claim.claimId, it) }
+        request.record(recording)
+        parts.runner.submit(request)
+    }
+
+    private fun repeat(request: RoutedRequest, claim: Claim, winner: Claim) {
+        ledger.forget(claim.claimId)
+        if (winner.digest != claim.digest) {
+            request.sink.refuse(KEY_REUSED)
+            return
+        }
+        outcome(winner).whenCompleteAsync({ outcome, _ ->
+            val waited = parts.clock() >= request.deadlineMs
+            when {
+                outcome == null || outcome.state == ClaimState.UNKNOWN -> request.sink.refuse(FIRST_UNKNOWN)
+                outcome.state == ClaimState.NOT_RUN ->
+                    claim(request, claim.copy(claimId = "${claim.claimId}+", supersedes = winner.claimId))
+                outcome.state == ClaimState.DONE -> replay(request, outcome.answer)
+                waited -> request.sink.refuse(STILL_RUNNING)
+                else -> repeat(request, claim, winner)
+            }
+        }, request.eventLoop)
+    }
+
+    private fun outcome(winner: Claim): CompletableFuture<ClaimOutcome?> {
+        val owner = parts.views.current.instances[winner.owner]
+        return when {
+            winner.incarnation == incarnation -> ledger.outcome(winner.claimId, POLL_MS).thenApply { it }
+            owner == null -> CompletableFuture.completedFuture(null)
+            else -> parts.peers.claimOutcome(owner, winner.claimId, POLL_MS)
+        }
+    }
+
+    private fun replay(request: RoutedRequest, answer: KeptAnswer?) {
+        if (answer == null) {
+            request.sink.refuse(ALREADY_DONE)
+            return
+        }
+        val body = Base64.getDecoder().decode(answer.body)
+        val head = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(answer.status))
+        head.headers()
+            .set(HttpHeaderNames.CONTENT_TYPE, answer.contentType)
+            .setInt(HttpHeaderNames.CONTENT_LENGTH, body.size)
+        request.sink.head(head)
+        request.sink.content(Unpooled.wrappedBuffer(body))
+        request.sink.end()
+    }
+}
+
+private val LOG_UNAVAILABLE = Refusal(
+    HttpResponseStatus.SERVICE_UNAVAILABLE,
+    "log_unavailable",
+    "The key could not be claimed.",
+    retryAfterSeconds = 1,
+)
+private val KEY_REUSED = Refusal(
+    HttpResponseStatus.UNPROCESSABLE_ENTITY,
+    "key_reused",
+    "This Idempotency-Key was used for another request.",
+)
+private val FIRST_UNKNOWN = Refusal(
+    HttpResponseStatus.CONFLICT,
+    "first_unknown",
+    "A request with this key was begun before and its outcome is unknown; it will not run again.",
+    Outcome.UNKNOWN,
+)
+private val STILL_RUNNING = Refusal(
+    HttpResponseStatus.CONFLICT,
+    "still_running",
+    "A request with this key is still running.",
+    Outcome.UNKNOWN,
+)
+private val ALREADY_DONE = Refusal(
+    HttpResponseStatus.CONFLICT,
+    "already_done",
+    "A request with this key is done; its answer was too large to keep.",
+    Outcome.DONE,
+)
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/Main.kt
@@ -0,0 +1,62 @@
+package corneltrack.router
+
+import corneltrack.wire.event
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ArgType
+import kotlinx.cli.default
+import kotlinx.cli.required
+import org.apache.logging.log4j.Level
+import org.apache.logging.log4j.LogManager
+import java.io.File
+import java.io.IOException
+import kotlin.system.exitProcess
+
+private const val EXIT_FAILED = 1
+private const val EXIT_BAD_SETTINGS = 2
+private val logger = LogManager.getLogger("corneltrack.router.Main")
+
+/** Runs a router until it is told to stop. Exits with 2 where the settings have faults. */
+public fun main(arguments: Array<String>) {
+    val parser = ArgParser("corneltrack-router")
+    val file by parser.option(ArgType.String, "settings", "s", "JSON file with the router's settings").required()
+    val check by parser.option(ArgType.Boolean, "check", "c", "Check the settings and exit").default(false)
+    parser.parse(arguments)
+    val settings = readSettings(file)
+    if (check) {
+        println("$file: the settings hold")
+        return
+    }
+    run(settings)
+}
+
+private fun readSettings(file: String): RouterSettings {
+    val text = try {
+        File(file).readText()
+    } catch (fault: IOException) {
+        System.err.println("$file: ${fault.message}")
+        exitProcess(EXIT_BAD_SETTINGS)
+    }
+    return when (val result = parseRouterSettings(text)) {
+        is SettingsResult.Valid -> result.settings
+        is SettingsResult.Invalid -> {
+            result.findings.forEach { System.err.println("$file: $it") }
+            exitProcess(EXIT_BAD_SETTINGS)
+        }
+    }
+}
+
+private fun run(settings: RouterSettings) {
+    val router = try {
+        Router(settings).start()
+    } catch (fault: IOException) {
+        logger.event("start_failed", Level.FATAL) { field("reason", fault.message) }
+        exitProcess(EXIT_FAILED)
+    }
+    Runtime.getRuntime().addShutdownHook(
+        Thread {
+            router.drain()
+            router.close()
+            LogManager.shutdown()
+        },
+    )
+}
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/OutcomeLedger.kt
@@ -0,0 +1,40 @@
+package corneltrack.router
+
+import corneltrack.policy.AttemptEnd
+import corneltrack.policy.OutcomeReport
+import corneltrack.world.EndpointId
+import java.util.concurrent.ConcurrentHashMap
+
+/** Collects how attempts ended at each endpoint until an allocator has taken the counts. Thread-safe. */
+internal class OutcomeLedger {
+    private val counts = ConcurrentHashMap<EndpointId, OutcomeReport>()
+
+    fun onEnd(endpoint: EndpointId, end: AttemptEnd, firstByteMs: Long) {
+        val one = end.report(firstByteMs) ?: return
+        counts.merge(endpoint, one) { sum, next -> sum + next }
+    }
+
+    /** Takes the counts of [endpoints] out. */
+    fun take(endpoints: Collection<EndpointId>): Map<EndpointId, OutcomeReport> =
+        endpoints.mapNotNull { id -> counts.remove(id)?.let { id to it } }.toMap()
+
+    /** Puts counts back that did not reach the allocator. */
+    fun putBack(taken: Map<EndpointId, OutcomeReport>) {
+        taken.forEach { (id, report) -> counts.merge(id, report) { sum, next -> sum + next } }
+    }
+}
+
+private fun AttemptEnd.report(firstByteMs: Long): OutcomeReport? = when (this) {
+    is AttemptEnd.Done -> OutcomeReport(successes = 1, firstByteMs = firstByteMs)
+    is AttemptEnd.Refused -> OutcomeReport(refused = 1)
+    is AttemptEnd.NotSent -> OutcomeReport(broken = 1)
+    is AttemptEnd.Broken -> OutcomeReport(broken = 1).takeIf { !reused }
+    is AttemptEnd.CallerGone -> null
+}
+
+private operator fun OutcomeReport.plus(other: OutcomeReport): OutcomeReport = OutcomeReport(
+    successes + other.successes,
+    refused + other.refused,
+    broken + other.broken,
+    firstByteMs + other.firstByteMs,
+)
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/PoolScheduler.kt
@@ -0,0 +1,95 @@
+package corneltrack.router
+
+import corneltrack.policy.Lease
+import corneltrack.world.Cell
+import corneltrack.world.Endpoint
+import corneltrack.world.EndpointId
+import corneltrack.world.PoolId
+import corneltrack.world.WorkspaceId
+import java.util.concurrent.locks.ReentrantLock
+import kotlin.concurrent.withLock
+
+/** Counts the waiting requests of one workspace. */
+internal data class WaitCount(val count: Int, val oldestMs: Long)
+
+/** Holds requests that will not start here any more. */
+internal class ExpiredRequests(val late: List<RoutedRequest>, val isolated: List<RoutedRequest>)
+
+/** Shows what one pool does at this router, for reports to allocators and operators. */
+internal class PoolSnapshot(
+    val waiting: Map<WorkspaceId, WaitCount>,
+    val overdue: Map<WorkspaceId, WaitCount>,
+    val running: Map<EndpointId, Int>,
+    val runningByCell: Map<Cell, Map<WorkspaceId, Int>>,
+    val virtual: Map<WorkspaceId, Long>,
+)
+
+/**
+ * Holds the waiting requests of one pool and starts them, in fair order, on slots lent by allocators.
+ *
+ * State changes under one short lock; requests are started outside it.
+ *
+ * @param start starts a request whose slot has been taken.
+ */
+internal class PoolScheduler(
+    val pool: PoolId,
+    private val views: RouterViews,
+    spillAfterMs: Long,
+    choose: EndpointChooser,
+    private val start: (Start) -> Unit,
+) {
+    val meter = ServiceMeter()
+    private val lock = ReentrantLock()
+    private val state = PoolState(views, spillAfterMs, choose, meter)
+
+    /** Lets [request] wait and starts what can start. Returns false where its workspace already waits too much. */
+    fun submit(request: RoutedRequest, nowMs: Long): Boolean {
+        val limit = views.current.configuration.agreement.termsFor(request.workspace).waitingLimit
+        val queued = lock.withLock { state.queue.offer(request, limit) }
+        if (queued) {
+            pump(nowMs)
+        }
+        return queued
+    }
+
+    /** Lets a request whose attempt failed wait again, ahead of its workspace's others. */
+    fun resubmit(request: RoutedRequest, nowMs: Long) {
+        lock.withLock { state.queue.putBack(request) }
+        pump(nowMs)
+    }
+
+    /** Stops a request from waiting. Returns whether it was. */
+    fun withdraw(request: RoutedRequest): Boolean = lock.withLock { state.queue.remove(request) }
+
+    /** Gives the slot of an ended attempt back. [cost] is known only for requests that ran to their end. */
+    fun finish(request: RoutedRequest, endpoint: Endpoint, cost: Long?, broken: Boolean, nowMs: Long) {
+        lock.withLock { state.finish(request, endpoint, cost, broken) }
+        pump(nowMs)
+    }
+
+    /** Applies a grant and starts what can start. [virtual] is null for cells of other home groups. */
+    fun onLease(lease: Lease, virtual: Map<WorkspaceId, Long>?, deferred: Set<WorkspaceId>, nowMs: Long) {
+        lock.withLock { state.onLease(lease, virtual, deferred) }
+        pump(nowMs)
+    }
+
+    /** Removes the requests that can no longer start in time, and those that waited [isolationMs] without a lease. */
+    fun expire(nowMs: Long, isolationMs: Long): ExpiredRequests = lock.withLock {
+        val late = state.queue.expire(nowMs)
+        val leased = state.slots.anyLease(nowMs - isolationMs)
+        val isolated = if (leased) emptyList() else state.queue.drain { nowMs - it.arrivedMs >= isolationMs }
+        ExpiredRequests(late, isolated)
+    }
+
+    /** Returns whether any slots are lent to this router. */
+    fun leased(nowMs: Long): Boolean = lock.withLock { state.slots.anyLease(nowMs) }
+
+    fun snapshot(nowMs: Long): PoolSnapshot = lock.withLock { state.snapshot(nowMs) }
+
+    /** Returns the mean cost of the requests that ended lately, or 0 where none did. */
+    fun meanCost(): Long = lock.withLock { state.meanCost.toLong() }
+
+    private fun pump(nowMs: Long) {
+        generateSequence { lock.withLock { state.next(nowMs) } }.forEach(start)
+    }
+}
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/RecordingSink.kt
@@ -0,0 +1,63 @@
+package corneltrack.router
+
+import io.netty.buffer.ByteBuf
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpResponse
+import java.io.ByteArrayOutputStream
+import java.util.Base64
+
+private const val KEPT_ANSWER_BYTES = 262_144
+
+/**
+ * Passes an answer on and keeps it for the caller's repeats.
+ *
+ * The answer is taken in to its end also when the caller has left.
+ */
+internal class RecordingSink(
+    private val sink: AnswerSink,
+    private val onOutcome: (ClaimOutcome) -> Unit,
+) : AnswerSink {
+    private val body = ByteArrayOutputStream()
+    private var status = 0
+    private var contentType = ""
+    private var tooLarge = false
+
+    /** Whether the caller has left. */
+    @Volatile
+    var callerGone: Boolean = false
+
+    override val writable: Boolean get() = callerGone || sink.writable
+
+    override fun head(response: HttpResponse) {
+        status = response.status().code()
+        contentType = response.headers().get(HttpHeaderNames.CONTENT_TYPE).orEmpty()
+        sink.head(response)
+    }
+
+    override fun content(data: ByteBuf) {
+        if (body.size() + data.readableBytes() > KEPT_ANSWER_BYTES) {
+            tooLarge = true
+        } else {
+            data.getBytes(data.readerIndex(), body, data.readableBytes())
+        }
+        sink.content(data)
+    }
+
+    override fun end() {
+        val text = Base64.getEncoder().encodeToString(body.toByteArray())
+        val answer = KeptAnswer(status, contentType, text).takeIf { !tooLarge }
+        onOutcome(ClaimOutcome(ClaimState.DONE, answer))
+        sink.end()
+    }
+
+    override fun refuse(refusal: Refusal) {
+        val state = if (refusal.outcome == Outcome.NOT_RUN) ClaimState.NOT_RUN else ClaimState.UNKNOWN
+        onOutcome(ClaimOutcome(state))
+        sink.refuse(refusal)
+    }
+
+    override fun abort(reason: String) {
+        onOutcome(ClaimOutcome(ClaimState.UNKNOWN))
+        sink.abort(reason)
+    }
+}
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/RequestRunner.kt
@@ -0,0 +1,213 @@
+package corneltrack.router
+
+import corneltrack.policy.AttemptEnd
+import corneltrack.policy.AttemptedRequest
+import corneltrack.policy.NextStep
+import corneltrack.policy.RetryBudget
+import corneltrack.policy.decideNextStep
+import corneltrack.wire.event
+import corneltrack.world.Endpoint
+import corneltrack.world.PoolId
+import io.netty.buffer.ByteBuf
+import io.netty.handler.codec.http.HttpResponseStatus
+import org.apache.logging.log4j.LogManager
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+
+private const val RETRY_AFTER_SECONDS = 1
+private val logger = LogManager.getLogger("corneltrack.router.RequestRunner")
+
+/** Takes requests through waiting, attempts and retries to their one answer. */
+internal class RequestRunner(
+    private val views: RouterViews,
+    private val settings: RouterSettings,
+    private val clock: Clock,
+    private val crashes: CrashReports,
+    private val metrics: RouterMetrics,
+) {
+    private val connections = EndpointConnections { endpoint, sent, received ->
+        metrics.onRequestTraffic(endpoint.dataCentre, sent, received)
+    }
+    private val schedulers = ConcurrentHashMap<PoolId, PoolScheduler>()
+    private val budget = RetryBudget()
+    private val open = AtomicInteger()
+    val outcomes = OutcomeLedger()
+
+    /** The requests that wait or run. */
+    val openRequests: Int get() = open.get()
+
+    fun scheduler(pool: PoolId): PoolScheduler = schedulers.computeIfAbsent(pool) {
+        PoolScheduler(it, views, settings.limits.spillAfterMs, EndpointChooser(crashes), ::startAttempt)
+    }
+
+    fun pools(): Collection<PoolScheduler> = schedulers.values
+
+    /** Lets [request] wait for its turn, or refuses it. */
+    fun submit(request: RoutedRequest) {
+        if (crashes.isQuarantined(request.identity.fingerprint)) {
+            request.answer(QUARANTINED)
+            return
+        }
+        budget.onAttempt()
+        open.incrementAndGet()
+        if (!scheduler(request.pool.id).submit(request, clock())) {
+            close(request, "waiting_limit")
+            request.answer(TOO_MANY_WAITING)
+        }
+    }
+
+    /** Gives up on a request whose caller left. */
+    fun cancel(request: RoutedRequest) {
+        request.cancelled = true
+        if (scheduler(request.pool.id).withdraw(request)) {
+            close(request, "caller_left")
+        } else {
+            request.eventLoop.execute { request.attempt?.cancel() }
+        }
+    }
+
+    /** Returns whether slots are lent to this router in any pool. */
+    fun leased(nowMs: Long): Boolean = schedulers.values.any { it.leased(nowMs) }
+
+    /**
+     * Refuses requests that can no longer start in time, and all that wait where no lease has been alive for
+     * [isolationMs].
+     */
+    fun expire(nowMs: Long, isolationMs: Long) {
+        schedulers.values.forEach { scheduler ->
+            val expired = scheduler.expire(nowMs, isolationMs)
+            expired.late.forEach { refuseWaiting(it, DEADLINE) }
+            expired.isolated.forEach { refuseWaiting(it, ISOLATED) }
+        }
+    }
+
+    private fun refuseWaiting(request: RoutedRequest, refusal: Refusal) {
+        val outcome = if (request.mayHaveRun) Outcome.UNKNOWN else Outcome.NOT_RUN
+        close(request, refusal.code)
+        request.eventLoop.execute { request.sink.refuse(refusal.copy(outcome = outcome)) }
+    }
+
+    private fun RoutedRequest.answer(refusal: Refusal) = eventLoop.execute { sink.refuse(refusal) }
+
+    private fun startAttempt(start: Start) {
+        val request = start.request
+        request.eventLoop.execute {
+            val run = Run(request, start.endpoint)
+            request.attempts++
+            val attempt = Attempt(request, start.endpoint, connections, clock, run)
+            request.attempt = attempt
+            if (request.cancelled && request.sink !is RecordingSink) attempt.cancel() else attempt.begin()
+        }
+    }
+
+    private fun close(request: RoutedRequest, result: String) {
+        open.decrementAndGet()
+        metrics.onRequestEnd(request, result, clock() - request.arrivedMs)
+        logger.event("request_ended") {
+            field("request", request.identity.id)
+            field("workspace", request.workspace)
+            field("pool", request.pool.id)
+            field("result", result)
+            field("attempts", request.attempts)
+            field("elapsed_ms", clock() - request.arrivedMs)
+        }
+    }
+
+    private inner class Run(private val request: RoutedRequest, private val endpoint: Endpoint) : AttemptListener {
+        private val startedMs = clock()
+        private val meter = CostMeter(request, endpoint, scheduler(request.pool.id).meter)
+        private var firstByteMs = 0L
+
+        override fun onFirstByte() {
+            firstByteMs = clock() - startedMs
+            metrics.onFirstByte(request, clock() - request.arrivedMs)
+        }
+
+        override fun onContent(data: ByteBuf) = meter.onContent(data)
+
+        override fun onEnd(end: AttemptEnd) {
+            request.attempt = null
+            val elapsedMs = clock() - startedMs
+            meter.onEnd(elapsedMs)
+            outcomes.onEnd(endpoint.id, end, firstByteMs)
+            if (end is AttemptEnd.Broken) {
+                connections.discard(endpoint.id)
+                request.mayHaveRun = true
+            }
+            request.tried += endpoint.id
+            val cost = meter.total.takeIf { end is AttemptEnd.Done }
+            val broken = end is AttemptEnd.NotSent || end is AttemptEnd.Broken && !end.reused
+            scheduler(request.pool.id).finish(request, endpoint, cost, broken, clock())
+            if (end is AttemptEnd.Broken && end.suspicious) {
+                crashes.assess(request.identity.fingerprint, endpoint)
+                    .whenCompleteAsync({ _, _ -> follow(decide(end, clock()), end) }, request.eventLoop)
+            } else {
+                follow(decide(end, clock()), end)
+            }
+        }
+
+        private fun decide(end: AttemptEnd, nowMs: Long): NextStep {
+            val attempted =
+                AttemptedRequest(request.repeatable, request.attempts, request.deadlineMs, request.mayHaveRun)
+            val step = decideNextStep(attempted, end, budget, nowMs)
+            val quarantined = crashes.isQuarantined(request.identity.fingerprint)
+            return if (step is NextStep.Retry && quarantined) NextStep.AnswerUnknown("quarantined") else step
+        }
+
+        private fun follow(step: NextStep, end: AttemptEnd) {
+            if (step !is NextStep.Finish) {
+                logger.event("attempt_failed") {
+                    field("request", request.identity.id)
+                    field("endpoint", endpoint.id)
+                    field("end", end)
+                    field("next", step.javaClass.simpleName)
+                }
+            }
+            when (step) {
+                is NextStep.Finish -> close(request, if (end is AttemptEnd.Done) "done" else "caller_left")
+                is NextStep.Retry -> scheduler(request.pool.id).resubmit(request, clock())
+                is NextStep.RefuseNotRun -> refuse(Outcome.NOT_RUN, step.reason)
+                is NextStep.AnswerUnknown -> refuse(Outcome.UNKNOWN, step.reason)
+                is NextStep.Abort -> {
+                    close(request, "aborted")
+                    request.sink.abort(step.reason)
+                }
+            }
+        }
+
+        private fun refuse(outcome: Outcome, reason: String) {
+            close(request, outcome.text)
+            val unknown = outcome == Outcome.UNKNOWN
+            val status = if (unknown) HttpResponseStatus.BAD_GATEWAY else HttpResponseStatus.SERVICE_UNAVAILABLE
+            val retryAfter = RETRY_AFTER_SECONDS.takeIf { outcome == Outcome.NOT_RUN }
+            request.sink.refuse(Refusal(status, "endpoint_failed", reason, outcome, retryAfter))
+        }
+    }
+}
+
+private val QUARANTINED = Refusal(
+    HttpResponseStatus.UNPROCESSABLE_ENTITY,
+    "quarantined",
+    "This request was running when two endpoints crashed and is refused for a time.",
+)
+
+private val TOO_MANY_WAITING = Refusal(
+    HttpResponseStatus.TOO_MANY_REQUESTS,
+    "waiting_limit",
+    "Too many requests of this workspace are waiting.",
+    retryAfterSeconds = RETRY_AFTER_SECONDS,
+)
+
+private val DEADLINE = Refusal(
+    HttpResponseStatus.SERVICE_UNAVAILABLE,
+    "deadline",
+    "The request could not start before its deadline.",
+    retryAfterSeconds = RETRY_AFTER_SECONDS,
+)
+
+private val ISOLATED = Refusal(
+    HttpResponseStatus.SERVICE_UNAVAILABLE,
+    "isolated",
+    "This router is cut off from the fleet.",
+    retryAfterSeconds = RETRY_AFTER_SECONDS,
+)
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/RoutedRequest.kt
@@ -0,0 +1,120 @@
+package corneltrack.router
+
+import corneltrack.policy.Waiting
+import corneltrack.world.EndpointId
+import corneltrack.world.Pool
+import corneltrack.world.WorkspaceId
+import io.netty.buffer.ByteBuf
+import io.netty.channel.EventLoop
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+
+/** What is sent to an endpoint: the caller's request without its secrets and connection headers. */
+internal data class OutgoingMessage(
+    val method: HttpMethod,
+    val path: String,
+    val headers: HttpHeaders,
+    val body: ByteArray,
+) {
+    override fun equals(other: Any?): Boolean = this === other
+
+    override fun hashCode(): Int = System.identityHashCode(this)
+}
+
+/** Tells whether a request ran, in every answer that the router itself makes. */
+internal enum class Outcome(val text: String) {
+    NOT_RUN("not-run"),
+    UNKNOWN("unknown"),
+    DONE("done"),
+}
+
+/** An answer made by the router itself. */
+internal data class Refusal(
+    val status: HttpResponseStatus,
+    val code: String,
+    val message: String,
+    val outcome: Outcome = Outcome.NOT_RUN,
+    val retryAfterSeconds: Int? = null,
+)
+
+/** Receives the answer to one request. All calls come on the request's event loop. */
+internal interface AnswerSink {
+    /** Whether more content can be taken without buffering it. */
+    val writable: Boolean
+
+    fun head(response: HttpResponse)
+
+    fun content(data: ByteBuf)
+
+    fun end()
+
+    /** Sends an answer of the router's own. */
+    fun refuse(refusal: Refusal)
+
+    /** Breaks the connection off in the middle of an answer. */
+    fun abort(reason: String)
+}
+
+/** Names a request and who pays for it. */
+internal data class RequestIdentity(
+    val id: String,
+    val workspace: WorkspaceId,
+    val pool: Pool,
+    val fingerprint: String,
+)
+
+/** Bounds when a request may start, in ms of the router's clock. */
+internal data class RequestTimes(val arrivedMs: Long, val deadlineMs: Long)
+
+/** One caller's request on its way through the router. */
+internal class RoutedRequest(
+    val identity: RequestIdentity,
+    val times: RequestTimes,
+    val repeatable: Boolean,
+    val message: OutgoingMessage,
+    val eventLoop: EventLoop,
+    sink: AnswerSink,
+) : Waiting {
+    /** Where the answer goes. */
+    var sink: AnswerSink = sink
+        private set
+
+    override val workspace: WorkspaceId get() = identity.workspace
+    override val arrivedMs: Long get() = times.arrivedMs
+    override val deadlineMs: Long get() = times.deadlineMs
+    val pool: Pool get() = identity.pool
+
+    /** The endpoints that have already failed this request. */
+    val tried: MutableSet<EndpointId> = HashSet()
+
+    @Volatile
+    var attempts: Int = 0
+
+    /** Whether an earlier attempt may have run. */
+    @Volatile
+    var mayHaveRun: Boolean = false
+
+    /** The cancel action of the attempt under way. */
+    @Volatile
+    var attempt: Attempt? = null
+
+    @Volatile
+    var cancelled: Boolean = false
+
+    /** Lets [recording] see the answer on its way to the caller. */
+    fun record(recording: RecordingSink) {
+        sink = recording
+        recording.callerGone = cancelled
+    }
+
+    /** Notes that the caller has left while the request runs on. */
+    fun onCallerGone() {
+        cancelled = true
+        eventLoop.execute {
+            (sink as? RecordingSink)?.callerGone = true
+            attempt?.onWritable(true)
+        }
+    }
+}
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/Router.kt
@@ -0,0 +1,215 @@
+package corneltrack.router
+
+import corneltrack.policy.LeaseTimes
+import corneltrack.policy.Suspicion
+import corneltrack.wire.CellStatus
+import corneltrack.wire.ControlClient
+import corneltrack.wire.ControlRequest
+import corneltrack.wire.ControlServer
+import corneltrack.wire.FleetListClient
+import corneltrack.wire.LogClient
+import corneltrack.wire.RouterStatus
+import corneltrack.wire.WorkspaceStatus
+import corneltrack.wire.event
+import corneltrack.wire.wireJson
+import corneltrack.world.DataCentreId
+import corneltrack.world.Instance
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.netty.handler.codec.http.HttpMethod
+import kotlinx.serialization.encodeToString
+import org.apache.logging.log4j.Level
+import org.apache.logging.log4j.LogManager
+import java.util.UUID
+import java.util.concurrent.Executors
+import java.util.concurrent.ScheduledExecutorService
+import java.util.concurrent.TimeUnit
+
+private const val TICK_MS = 25L
+private const val EXPIRE_EVERY_TICKS = 4
+private const val ISOLATION_MS = 6_000L
+private const val DRAIN_POLL_MS = 50L
+private const val HANDOVER_MS = 1_500L
+private const val INCARNATION_LENGTH = 12
+internal const val SUSPICION_PATH: String = "/peer/suspicion"
+private val logger = LogManager.getLogger("corneltrack.router.Router")
+
+/** Runs one router: callers' surface, control surface and the duties behind them. */
+public class Router(private val settings: RouterSettings) : AutoCloseable {
+    private val incarnation = UUID.randomUUID().toString().replace("-", "").take(INCARNATION_LENGTH)
+    private val clock = monotonicClock
+    private val times = LeaseTimes()
+    private val workers = eventLoops(settings.threads)
+    private val controlLoops = eventLoops(1)
+    private val control: ScheduledExecutorService = Executors.newSingleThreadScheduledExecutor { task ->
+        Thread(task, "control").apply { isDaemon = true }
+    }
+    private val metrics = RouterMetrics(settings)
+    private val views = RouterViews(settings)
+    private val platform = ControlClient(controlLoops) { _, sent, received ->
+        metrics.onPlatformTraffic(sent, received)
+    }
+    private val log = LogClient(platform, settings.platform.log)
+    private val peerConnections = ControlClient(controlLoops) { address, sent, received ->
+        metrics.onControlTraffic(dataCentreAt(address), sent, received)
+    }
+    private val peers = PeerClient(peerConnections, settings.secret)
+    private val loads = EndpointLoadClient(peerConnections)
+    private val crashes = CrashReports(loads, clock, epochClock, ::shareSuspicion)
+    private val runner = RequestRunner(views, settings, clock, crashes, metrics)
+    private val parts = RouterParts(settings, views, runner, peers, clock)
+    private val reader = ConfigurationReader(log, views, control, clock)
+    private val fleet = FleetWatcher(
+        FleetListClient(platform, settings.platform.instances, settings.id.value),
+        views,
+        control,
+        clock
+    )
+    private val duty = AllocatorDuty(settings, incarnation, views, times, clock)
+    private val upkeep = AllocatorUpkeep(parts, duty, loads, control)
+    private val snapshots = SnapshotDuty(settings, views, log, reader, clock)
+    private val exchanger = Exchanger(parts, incarnation, times, control, duty::exchange, ::fetchConfiguration)
+    private val keyed = KeyedRequests(
+        parts,
+        incarnation,
+        ClaimStream(log, control, settings.limits.claimRetentionMs),
+        epochClock
+    )
+    private val gateway = Gateway(views, settings, runner, keyed, clock)
+    private val surface = ControlSurface(Source(), duty, views, keyed.ledger, crashes, control)
+    private val callers = CallerServer(
+        controlLoops,
+        workers
+    ) { CallerConnection(settings.limits.bodyBytes, gateway::handle) }
+    private val controlServer = ControlServer(controlLoops, settings.secret, OPEN_PATHS, surface::handle)
+    private var ticks = 0L
+
+    @Volatile
+    private var draining = false
+
+    /** Starts to listen and to follow the platform. Fails where an address is taken. */
+    public fun start(): Router {
+        controlServer.start(settings.control)
+        callers.start(settings.callers)
+        reader.start()
+        fleet.start()
+        control.scheduleAtFixedRate(::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS)
+        logger.event("router_started") {
+            field("instance", settings.id)
+            field("incarnation", incarnation)
+            field("callers", settings.callers)
+            field("control", settings.control)
+        }
+        return this
+    }
+
+    /**
+     * Shuts down without cutting off a request: refuses new ones, runs the others to their end and hands leases back.
+     *
+     * @return whether all requests ended within the drain limit.
+     */
+    public fun drain(): Boolean {
+        logger.event("router_draining") { field("open", runner.openRequests) }
+        draining = true
+        gateway.drain()
+        control.execute { duty.release() }
+        val beganMs = clock()
+        while (clock() - beganMs < HANDOVER_MS || runner.openRequests > 0) {
+            if (clock() - beganMs > settings.limits.drainMs) break
+            Thread.sleep(DRAIN_POLL_MS)
+        }
+        val complete = runner.openRequests == 0
+        logger.event("router_drained") { field("complete", complete) }
+        return complete
+    }
+
+    override fun close() {
+        callers.close()
+        controlServer.close()
+        control.shutdownNow()
+        workers.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync()
+        controlLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync()
+    }
+
+    private fun tick() {
+        runCatching {
+            exchanger.tick()
+            upkeep.tick()
+            snapshots.tick()
+            if (ticks++ % EXPIRE_EVERY_TICKS == 0L) {
+                runner.expire(clock(), ISOLATION_MS)
+            }
+        }.onFailure { fault ->
+            logger.event("tick_failed", Level.ERROR) { field("reason", fault.stackTraceToString()) }
+        }
+    }
+
+    private fun fetchConfiguration(peer: Instance) {
+        peers.configuration(peer).thenAccept { configuration -> configuration?.let { views.publish(it) } }
+    }
+
+    private fun shareSuspicion(suspicion: Suspicion) {
+        val body = wireJson.encodeToString(suspicion)
+        val request = ControlRequest(HttpMethod.POST, SUSPICION_PATH, body, settings.secret)
+        views.current.fleet.instances.filter { it.id != settings.id }
+            .forEach { peerConnections.send(it.address, request) }
+    }
+
+    private fun dataCentreAt(address: String): DataCentreId {
+        val fleet = views.current.fleet
+        return fleet.instances.firstOrNull { it.address == address }?.dataCentre
+            ?: fleet.endpoints.firstOrNull { it.address == address }?.dataCentre
+            ?: settings.dataCentre
+    }
+
+    private inner class Source : ControlSource {
+        override val ready: Boolean
+            get() = !draining && views.current.configuration.known && views.current.listed && runner.leased(clock())
+
+        override fun status(): RouterStatus = RouterStatus(
+            id = settings.id,
+            incarnation = incarnation,
+            dataCentre = settings.dataCentre,
+            ready = ready,
+            configurationOffset = views.current.configuration.offset,
+            configurationVersion = views.current.configuration.version,
+            logSilenceMs = reader.silenceMs(clock()),
+            listSilenceMs = fleet.silenceMs(clock()),
+            openRequests = runner.openRequests,
+            allocates = duty.status().map {
+                CellStatus(
+                    it.cell,
+                    it.supporters,
+                    it.listed,
+                    it.limits,
+                    it.usable,
+                    it.running,
+                    it.waiting,
+                    it.coldEndpoints,
+                )
+            },
+            workspaces = runner.pools().flatMap { it.workspaceStatus(clock()) },
+            quarantined = crashes.quarantined(),
+        )
+
+        override fun metrics(): String = metrics.text(runner.openRequests, views.current.configuration.offset)
+    }
+}
+
+private fun PoolScheduler.workspaceStatus(nowMs: Long): List<WorkspaceStatus> {
+    val snapshot = snapshot(nowMs)
+    val running = snapshot.runningByCell.values.flatMap { it.entries }.groupBy({ it.key }, { it.value })
+    return (snapshot.waiting.keys + running.keys + meter.workspaces()).map { workspace ->
+        WorkspaceStatus(
+            pool,
+            workspace,
+            snapshot.waiting[workspace]?.count ?: 0,
+            running[workspace].orEmpty().sum(),
+            meter.total(workspace),
+        )
+    }
+}
+
+private fun eventLoops(threads: Int): EventLoopGroup =
+    MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory())
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/RouterParts.kt
@@ -0,0 +1,10 @@
+package corneltrack.router
+
+/** Holds the parts of one router that several duties share. */
+internal class RouterParts(
+    val settings: RouterSettings,
+    val views: RouterViews,
+    val runner: RequestRunner,
+    val peers: PeerClient,
+    val clock: Clock,
+)
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/SnapshotDuty.kt
@@ -0,0 +1,56 @@
+package corneltrack.router
+
+import corneltrack.policy.rendezvous
+import corneltrack.wire.LogClient
+import corneltrack.wire.event
+import corneltrack.wire.wireJson
+import corneltrack.world.ConfigurationEntry
+import corneltrack.world.MemberState
+import corneltrack.world.SnapshotRecord
+import kotlinx.serialization.encodeToString
+import org.apache.logging.log4j.LogManager
+
+private const val ENTRIES_PER_SNAPSHOT = 50
+private const val PERIOD_MS = 600_000L
+private const val RETRY_MS = 5_000L
+private val logger = LogManager.getLogger("corneltrack.router.SnapshotDuty")
+
+/**
+ * Appends the whole configuration to its stream before older records expire.
+ *
+ * One live router has this duty at a time by its own reckoning; a snapshot appended twice changes nothing.
+ * Only used on the control thread.
+ */
+internal class SnapshotDuty(
+    private val settings: RouterSettings,
+    private val views: RouterViews,
+    private val log: LogClient,
+    private val reader: ConfigurationReader,
+    private val clock: Clock,
+) {
+    private var triedMs = clock()
+    private var appendedMs = clock()
+
+    /** Appends a snapshot where one is due. */
+    fun tick() {
+        val nowMs = clock()
+        val configuration = views.current.configuration
+        if (!configuration.known || nowMs - triedMs < RETRY_MS || !isMine()) {
+            return
+        }
+        val behind = configuration.offset - maxOf(reader.snapshotOffset, 0)
+        if (behind < ENTRIES_PER_SNAPSHOT && nowMs - appendedMs < PERIOD_MS) {
+            return
+        }
+        triedMs = nowMs
+        appendedMs = nowMs
+        val trimmed = configuration.copy(history = configuration.history.takeLast(ENTRIES_PER_SNAPSHOT))
+        log.append(CONFIGURATION_STREAM, wireJson.encodeToString<ConfigurationEntry>(SnapshotRecord(trimmed)))
+        logger.event("snapshot_appended") { field("covers", configuration.offset) }
+    }
+
+    private fun isMine(): Boolean {
+        val live = views.current.fleet.instances.filter { it.state == MemberState.LIVE }
+        return rendezvous("configuration-snapshot", live) { it.id.value }?.id == settings.id
+    }
+}
--- /dev/null
+++ b/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/CallerClient.kt
@@ -0,0 +1,148 @@
+package corneltrack.testbed
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.atomic.AtomicReference
+
+/** A call as a caller makes it. */
+public data class Call(
+    val method: HttpMethod,
+    val path: String,
+    val body: String,
+    val headers: Map<String, String>,
+)
+
+/**
+ * What a caller saw.
+ *
+ * @property status the status, or 0 where no answer began.
+ * @property outcome the router's statement on whether the request ran, or null.
+ * @property complete whether the answer was whole.
+ * @property firstByteNanos the time to the first byte of the body, in ns.
+ */
+public data class CallResult(
+    val status: Int,
+    val outcome: String?,
+    val body: String,
+    val complete: Boolean,
+    val firstByteNanos: Long,
+)
+
+/** Makes calls, each on a connection of its own. */
+public class CallerClient(private val group: EventLoopGroup) {
+    /**
+     * Makes one call to [address] (host and port).
+     *
+     * @param onData is told of each piece of the body as it arrives.
+     */
+    public fun call(address: String, call: Call, onData: (String) -> Unit = {}): OpenCall {
+        val result = CompletableFuture<CallResult>()
+        val open = OpenCall(result)
+        val connected = Bootstrap()
+            .group(group)
+            .channel(NioSocketChannel::class.java)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .handler(object : ChannelInitializer<SocketChannel>() {
+                override fun initChannel(channel: SocketChannel) {
+                    channel.pipeline().addLast(HttpClientCodec(), AnswerReader(result, onData))
+                }
+            })
+            .connect(address.substringBeforeLast(':'), address.substringAfterLast(':').toInt())
+        connected.addListener {
+            if (connected.isSuccess) {
+                open.channel.set(connected.channel())
+                connected.channel().writeAndFlush(call.encode(address))
+            } else {
+                result.complete(CallResult(0, null, "", complete = false, firstByteNanos = 0))
+            }
+        }
+        return open
+    }
+}
+
+/** A call under way. */
+public class OpenCall internal constructor(public val result: CompletableFuture<CallResult>) {
+    internal val channel = AtomicReference<Channel>()
+
+    /** Leaves without waiting for the answer. */
+    public fun hangUp() {
+        channel.get()?.close()
+    }
+
+    /** Waits for the answer. */
+    public fun join(): CallResult = result.join()
+}
+
+private fun Call.encode(address: String): DefaultFullHttpRequest {
+    val content = Unpooled.copiedBuffer(body, Charsets.UTF_8)
+    val message = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path, content)
+    message.headers()
+        .set(HttpHeaderNames.HOST, address)
+        .setInt(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes())
+        .set(HttpHeaderNames.CONNECTION, "close")
+    headers.forEach { (name, value) -> message.headers().set(name, value) }
+    return message
+}
+
+private class AnswerReader(
+    private val result: CompletableFuture<CallResult>,
+    private val onData: (String) -> Unit,
+) : SimpleChannelInboundHandler<HttpObject>() {
+    private val beganNanos = System.nanoTime()
+    private val body = StringBuilder()
+    private var status = 0
+    private var outcome: String? = null
+    private var firstByteNanos = 0L
+
+    override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
+        if (message is HttpResponse) {
+            status = message.status().code()
+            outcome = message.headers().get("x-corneltrack-outcome")
+        }
+        if (message is HttpContent) {
+            onContent(message)
+        }
+        if (message is LastHttpContent) {
+            finish(complete = !message.decoderResult().isFailure)
+            context.close()
+        }
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) = finish(complete = false)
+
+    @Deprecated("Netty keeps this method for inbound handlers")
+    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        context.close()
+    }
+
+    private fun onContent(content: HttpContent) {
+        if (content.content().isReadable) {
+            if (firstByteNanos == 0L) firstByteNanos = System.nanoTime() - beganNanos
+            val text = content.content().toString(Charsets.UTF_8)
+            body.append(text)
+            onData(text)
+        }
+    }
+
+    private fun finish(complete: Boolean) {
+        result.complete(CallResult(status, outcome, body.toString(), complete, firstByteNanos))
+    }
+}
--- /dev/null
+++ b/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/Calls.kt
@@ -0,0 +1,32 @@
+package corneltrack.testbed
+
+import corneltrack.world.WorkspaceId
+import io.netty.handler.codec.http.HttpMethod
+
+/** Returns a chat request whose answer repeats [word] in each of [tokens] tokens. */
+public fun chat(
+    workspace: WorkspaceId,
+    word: String,
+    tokens: Int,
+    stream: Boolean = true,
+    headers: Map<String, String> = emptyMap(),
+): Call = Call(
+    HttpMethod.POST,
+    "/v1/chat/completions",
+    "{\"model\":\"$DRAFTS\",\"stream\":$stream,\"max_tokens\":$tokens," +
+        "\"messages\":[{\"role\":\"user\",\"content\":\"$word please\"}]}",
+    mapOf("authorization" to "Bearer ${apiKey(workspace)}") + headers,
+)
+
+/** Returns an order that must not run twice, told from others by [body]. */
+public fun order(workspace: WorkspaceId, body: String, headers: Map<String, String> = emptyMap()): Call =
+    Call(HttpMethod.POST, "/orders/new", body, mapOf("authorization" to "Bearer ${apiKey(workspace)}") + headers)
+
+/** Returns whether this is a whole streamed answer of [tokens] tokens that all repeat [word]. */
+public fun CallResult.isOwnStream(word: String, tokens: Int): Boolean {
+    val expected = (1..tokens).map { "$word-$it " }
+    val found = TOKEN.findAll(body).map { it.groupValues[1] }.toList()
+    return complete && body.endsWith("data: [DONE]\n\n") && found == expected
+}
+
+private val TOKEN = Regex("\"content\":\"([^\"]*)\"")
--- /dev/null
+++ b/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/FleetPlan.kt
@@ -0,0 +1,106 @@
+package corneltrack.testbed
+
+import corneltrack.world.Change
+import corneltrack.world.DataCentreId
+import corneltrack.world.Pool
+import corneltrack.world.PoolId
+import corneltrack.world.PoolKind
+import corneltrack.world.PutPool
+import corneltrack.world.PutWorkspace
+import corneltrack.world.RegionId
+import corneltrack.world.Workspace
+import corneltrack.world.WorkspaceId
+import java.security.MessageDigest
+
+/** Describes one data centre of a test fleet. */
+public data class PlannedDataCentre(
+    val id: DataCentreId,
+    val region: RegionId,
+    val routers: Int,
+    val engines: Int,
+    val services: Int,
+)
+
+/** Describes a fleet to start for tests and measurements. */
+public data class FleetPlan(
+    val dataCentres: List<PlannedDataCentre>,
+    val workspaces: List<WorkspaceId>,
+    val pools: List<Pool>,
+    val engine: EngineBehaviour,
+    val serviceMs: Long,
+    val regionDelayMs: Long,
+    val listLagMs: Long,
+) {
+    /** The changes that bring the fleet's first configuration about. */
+    public val firstChanges: List<Change>
+        get() = pools.map { PutPool(it) } + workspaces.map { PutWorkspace(Workspace(it, setOf(keyHash(apiKey(it))))) }
+}
+
+/** The model pool of test fleets. */
+public val DRAFTS: PoolId = PoolId("drafts")
+
+/** The plain-service pool of test fleets, reached at `/orders`. */
+public val ORDERS: PoolId = PoolId("orders")
+
+/** Returns the API key of [workspace] in test fleets. */
+public fun apiKey(workspace: WorkspaceId): String = "key-of-$workspace"
+
+private fun keyHash(key: String): String =
+    MessageDigest.getInstance("SHA-256").digest(key.toByteArray()).joinToString("") { "%02x".format(it) }
+
+/** Builds a [FleetPlan]. */
+public class FleetPlanBuilder internal constructor() {
+    private val dataCentres = mutableListOf<PlannedDataCentre>()
+
+    /** The number of workspaces. */
+    public var workspaces: Int = DEFAULT_WORKSPACES
+
+    /** How the model engines behave. */
+    public var engine: EngineBehaviour = EngineBehaviour()
+
+    /** The time of one call of a plain service, in ms. */
+    public var serviceMs: Long = DEFAULT_SERVICE_MS
+
+    /** The one-way delay between regions, in ms. */
+    public var regionDelayMs: Long = 0
+
+    /** The lag of the instance list, in ms. */
+    public var listLagMs: Long = 0
+
+    /** The longest silence of an answer, in ms. */
+    public var silenceLimitMs: Long = DEFAULT_SILENCE_MS
+
+    /** Adds a data centre, which is a region of its own unless [region] names one. */
+    public fun dataCentre(id: String, region: String = id, routers: Int = 1, engines: Int = 0, services: Int = 0) {
+        dataCentres += PlannedDataCentre(DataCentreId(id), RegionId(region), routers, engines, services)
+    }
+
+    internal fun build(): FleetPlan {
+        val drafts = Pool(
+            DRAFTS,
+            PoolKind.MODEL,
+            coldLimit = engine.coldBatch,
+            endpointLimit = engine.batch,
+            silenceLimitMs = silenceLimitMs,
+        )
+        val orders = Pool(
+            ORDERS,
+            PoolKind.SERVICE,
+            route = "/orders",
+            coldLimit = SERVICE_LIMIT,
+            endpointLimit = SERVICE_LIMIT,
+            silenceLimitMs = silenceLimitMs,
+        )
+        val names = (1..workspaces).map { WorkspaceId("w%02d".format(it)) }
+        val pools = listOf(drafts, orders)
+        return FleetPlan(dataCentres, names, pools, engine, serviceMs, regionDelayMs, listLagMs)
+    }
+}
+
+/** Describes a fleet. */
+public fun fleetPlan(describe: FleetPlanBuilder.() -> Unit): FleetPlan = FleetPlanBuilder().apply(describe).build()
+
+private const val DEFAULT_WORKSPACES = 4
+private const val DEFAULT_SERVICE_MS = 20L
+private const val DEFAULT_SILENCE_MS = 10_000L
+private const val SERVICE_LIMIT = 16
--- /dev/null
+++ b/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/LoadDriver.kt
@@ -0,0 +1,105 @@
+package corneltrack.testbed
+
+import corneltrack.world.WorkspaceId
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
+
+private const val RETRY_MS = 100L
+private val EVENT = Regex("data: \\{")
+
+/** Keeps [calls] requests of one workspace under way at the router at [address], so that some always wait. */
+public data class Backlog(val workspace: WorkspaceId, val address: String, val calls: Int)
+
+/** Counts what callers saw. */
+public class CallCounts {
+    /** Whole answers that were the caller's own. */
+    public val whole: AtomicInteger = AtomicInteger()
+
+    /** Refusals that say that the request did not run. */
+    public val notRun: AtomicInteger = AtomicInteger()
+
+    /** Refusals that say that the request may have run. */
+    public val unknown: AtomicInteger = AtomicInteger()
+
+    /** Answers cut off, with or without a status. */
+    public val cut: AtomicInteger = AtomicInteger()
+
+    /** Answers that were not the caller's own. */
+    public val foreign: AtomicInteger = AtomicInteger()
+
+    override fun toString(): String =
+        "whole=$whole not-run=$notRun unknown=$unknown cut=$cut foreign=$foreign"
+}
+
+/** Keeps workspaces backlogged with streamed requests and counts the tokens that each receives. */
+public class LoadDriver(
+    private val client: CallerClient,
+    private val backlogs: List<Backlog>,
+    private val tokensOf: (WorkspaceId) -> Int,
+) {
+    private val served = ConcurrentHashMap<WorkspaceId, AtomicLong>()
+    private val sequence = AtomicLong()
+    private val open = AtomicInteger()
+
+    @Volatile
+    private var stopped = false
+
+    /** What callers saw so far. */
+    public val counts: CallCounts = CallCounts()
+
+    /** The requests under way. */
+    public val openCalls: Int get() = open.get()
+
+    /** Begins to send. */
+    public fun start() {
+        backlogs.forEach { backlog -> repeat(backlog.calls) { next(backlog) } }
+    }
+
+    /** Sends no further requests; those under way go on. */
+    public fun stop() {
+        stopped = true
+    }
+
+    /** Returns the tokens received so far by workspace. */
+    public fun served(): Map<WorkspaceId, Long> = served.mapValues { it.value.get() }
+
+    /** Returns counts and tokens in one line. */
+    public fun summary(): String = "$counts tokens=${served().toSortedMap()}"
+
+    private fun next(backlog: Backlog) {
+        if (stopped) {
+            return
+        }
+        val tokens = tokensOf(backlog.workspace)
+        val word = "${backlog.workspace}x${sequence.incrementAndGet()}"
+        val counter = served.computeIfAbsent(backlog.workspace) { AtomicLong() }
+        open.incrementAndGet()
+        client.call(backlog.address, chat(backlog.workspace, word, tokens)) { data ->
+            counter.addAndGet(EVENT.findAll(data).count().toLong())
+        }.result.thenAccept { result ->
+            open.decrementAndGet()
+            count(result, word, tokens)
+            if (result.status == OK) next(backlog) else later { next(backlog) }
+        }
+    }
+
+    private fun count(result: CallResult, word: String, tokens: Int) {
+        val counter = when {
+            result.isOwnStream(word, tokens) -> counts.whole
+            result.outcome == "not-run" -> counts.notRun
+            result.outcome == "unknown" -> counts.unknown
+            result.complete -> counts.foreign
+            else -> counts.cut
+        }
+        counter.incrementAndGet()
+    }
+
+    private fun later(action: () -> Unit) {
+        CompletableFuture.delayedExecutor(RETRY_MS, TimeUnit.MILLISECONDS).execute(action)
+    }
+}
+
+private const val OK = 200
--- /dev/null
+++ b/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/LogStandIn.kt
@@ -0,0 +1,130 @@
+package corneltrack.testbed
+
+import corneltrack.wire.AppendRequest
+import corneltrack.wire.AppendResponse
+import corneltrack.wire.ControlRequest
+import corneltrack.wire.ControlResponse
+import corneltrack.wire.ControlServer
+import corneltrack.wire.HostAndPort
+import corneltrack.wire.LogPage
+import corneltrack.wire.LogRecord
+import corneltrack.wire.errorResponse
+import corneltrack.wire.jsonResponse
+import corneltrack.wire.wireJson
+import io.netty.channel.EventLoopGroup
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.QueryStringDecoder
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
+
+private const val DEFAULT_APPENDS_PER_SECOND = 400
+private const val DEFAULT_KEPT_RECORDS = 100_000
+private const val NANOS_PER_SECOND = 1_000_000_000L
+private const val DEFAULT_LIMIT = 1_000
+
+/**
+ * Stands in for the platform's append-only log: offsets, long polls, retention, an append rate and faults.
+ *
+ * @param appendsPerSecond further appends within a second are refused with status 429.
+ */
+public class LogStandIn(
+    private val group: EventLoopGroup,
+    private val appendsPerSecond: Int = DEFAULT_APPENDS_PER_SECOND,
+) : AutoCloseable {
+    private class Stream {
+        var next = 0L
+        val records = ArrayDeque<LogRecord>()
+        val waiting = mutableListOf<() -> Unit>()
+    }
+
+    private val streams = HashMap<String, Stream>()
+    private val server = ControlServer(group, secret = null, handler = ::handle)
+    private var windowStart = 0L
+    private var appendsInWindow = 0
+
+    /** Whether every request is refused with status 503. */
+    @Volatile
+    public var down: Boolean = false
+
+    /** How many records each stream keeps. */
+    @Volatile
+    public var keptRecords: Int = DEFAULT_KEPT_RECORDS
+
+    /** How many further appends take effect without an answer. */
+    public val answersToLose: AtomicInteger = AtomicInteger()
+
+    /** Host and port of the log. */
+    public val address: String get() = "127.0.0.1:${server.port}"
+
+    /** Starts to listen on [port]; 0 picks one. */
+    public fun start(port: Int = 0): LogStandIn = apply { server.start(HostAndPort("127.0.0.1", port)) }
+
+    /** Returns the data of the records that [stream] keeps. */
+    @Synchronized
+    public fun records(stream: String): List<LogRecord> = streams[stream]?.records.orEmpty().toList()
+
+    override fun close(): Unit = server.close()
+
+    private fun handle(request: ControlRequest): CompletableFuture<ControlResponse> {
+        val query = QueryStringDecoder(request.path)
+        val name = query.path().removePrefix("/streams/").removeSuffix("/records")
+        return when {
+            down -> errorResponse(HttpResponseStatus.SERVICE_UNAVAILABLE, "the log is down")
+            request.method == HttpMethod.POST -> append(name, wireJson.decodeFromString<AppendRequest>(request.body))
+            else -> read(name, query)
+        }
+    }
+
+    @Synchronized
+    private fun append(name: String, request: AppendRequest): CompletableFuture<ControlResponse> {
+        if (!withinRate(System.nanoTime())) {
+            return errorResponse(HttpResponseStatus.TOO_MANY_REQUESTS, "more than $appendsPerSecond appends a second")
+        }
+        val stream = streams.getOrPut(name) { Stream() }
+        val record = LogRecord(stream.next++, request.data)
+        stream.records.addLast(record)
+        while (stream.records.size > keptRecords) {
+            stream.records.removeFirst()
+        }
+        stream.waiting.toList().also { stream.waiting.clear() }.forEach { it() }
+        val lost = answersToLose.getAndUpdate { maxOf(0, it - 1) } > 0
+        return if (lost) CompletableFuture() else jsonResponse(AppendResponse(record.offset))
+    }
+
+    private fun read(name: String, query: QueryStringDecoder): CompletableFuture<ControlResponse> {
+        val from = query.number("from", 0)
+        val limit = query.number("limit", DEFAULT_LIMIT.toLong()).toInt()
+        val waitMs = query.number("waitMs", 0)
+        val answer = CompletableFuture<ControlResponse>()
+        val complete = { page(name, from, limit).thenAccept { answer.complete(it) } }
+        val waits = synchronized(this) {
+            val stream = streams.getOrPut(name) { Stream() }
+            val empty = waitMs > 0 && from >= stream.next
+            if (empty) stream.waiting += { complete() }
+            empty
+        }
+        if (waits) group.schedule({ complete() }, waitMs, TimeUnit.MILLISECONDS) else complete()
+        return answer
+    }
+
+    @Synchronized
+    private fun page(name: String, from: Long, limit: Int): CompletableFuture<ControlResponse> {
+        val stream = streams.getOrPut(name) { Stream() }
+        val oldest = stream.records.firstOrNull()?.offset ?: stream.next
+        val records = stream.records.filter { it.offset >= from }.take(limit)
+        return jsonResponse(LogPage(oldest, stream.next, records))
+    }
+
+    private fun withinRate(nowNanos: Long): Boolean {
+        if (nowNanos - windowStart > NANOS_PER_SECOND) {
+            windowStart = nowNanos
+            appendsInWindow = 0
+        }
+        return ++appendsInWindow <= appendsPerSecond
+    }
+}
+
+private fun QueryStringDecoder.number(name: String, default: Long): Long =
+    parameters()[name]?.firstOrNull()?.toLongOrNull() ?: default
--- /dev/null
+++ b/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/Main.kt
@@ -0,0 +1,12 @@
+package corneltrack.testbed
+
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ExperimentalCli
+
+/** Runs the quick start or a measurement. */
+@OptIn(ExperimentalCli::class)
+public fun main(arguments: Array<String>) {
+    val parser = ArgParser("corneltrack-testbed")
+    parser.subcommands(QuickStart())
+    parser.parse(arguments)
+}
--- /dev/null
+++ b/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/RouterProcess.kt
@@ -0,0 +1,77 @@
+package corneltrack.testbed
+
+import java.io.File
+import java.net.ServerSocket
+import java.nio.file.Files
+import java.nio.file.Path
+import java.util.concurrent.TimeUnit
+
+private const val HEAP = "-Xmx192m"
+private const val STOP_TIMEOUT_SECONDS = 60L
+
+/** Returns a TCP port that was free a moment ago. */
+public fun freePort(): Int = ServerSocket(0).use { it.localPort }
+
+/**
+ * Runs one real router process.
+ *
+ * @param classPath where the router's classes are.
+ * @param program the jar or classes run; null runs those of this process.
+ */
+public class RouterProcess(
+    public val id: String,
+    public val callers: String,
+    public val control: String,
+    private val settings: String,
+    private val folder: Path,
+    private val program: File? = null,
+) {
+    private var process: Process? = null
+
+    /** The file that the router's log lines go to. */
+    public val logFile: File get() = folder.resolve("$id.log").toFile()
+
+    /** Whether the process runs. */
+    public val alive: Boolean get() = process?.isAlive == true
+
+    /** The process id, for operating-system figures. */
+    public val pid: Long get() = process!!.pid()
+
+    /** Starts the process. */
+    public fun start(): RouterProcess = apply {
+        val file = folder.resolve("$id.json")
+        Files.writeString(file, settings)
+        val java = Path.of(System.getProperty("java.home"), "bin", "java").toString()
+        val code = program?.path ?: System.getProperty("java.class.path")
+        val command =
+            listOf(java, HEAP, "-XX:+UseSerialGC", "-cp", code, "corneltrack.router.MainKt", "--settings", "$file")
+        process = ProcessBuilder(command)
+            .redirectErrorStream(true)
+            .redirectOutput(ProcessBuilder.Redirect.appendTo(logFile))
+            .start()
+    }
+
+    /** Kills the process without warning. */
+    public fun kill() {
+        process?.destroyForcibly()?.waitFor()
+    }
+
+    /** Asks the process to shut down gracefully. */
+    public fun terminate() {
+        process?.destroy()
+    }
+
+    /** Waits until the process has ended. Returns whether it has. */
+    public fun awaitEnd(timeoutSeconds: Long = STOP_TIMEOUT_SECONDS): Boolean =
+        process?.waitFor(timeoutSeconds, TimeUnit.SECONDS) ?: true
+
+    /** Stops the process as the scheduler of a frozen machine would; [resume] lets it go on. */
+    public fun pause(): Unit = signal("STOP")
+
+    /** Lets a paused process go on. */
+    public fun resume(): Unit = signal("CONT")
+
+    private fun signal(name: String) {
+        ProcessBuilder("kill", "-$name", pid.toString()).start().waitFor()
+    }
+}
--- /dev/null
+++ b/corneltrack-testbed/src/test/kotlin/corneltrack/testbed/WholePathTest.kt
@@ -0,0 +1,67 @@
+package corneltrack.testbed
+
+import corneltrack.world.WorkspaceId
+import io.netty.handler.codec.http.HttpMethod
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class WholePathTest {
+    private val plan = fleetPlan {
+        dataCentre("north", routers = 3, engines = 2, services = 1)
+        workspaces = 3
+    }
+
+    @Test
+    fun `every caller gets exactly its own whole answer through any router`() {
+        TestFleet(plan).use { fleet ->
+            fleet.start()
+            val client = CallerClient(fleet.group)
+            val calls = (0 until 120).map { number ->
+                val router = fleet.routers[number % fleet.routers.size]
+                val workspace = plan.workspaces[number % plan.workspaces.size]
+                val word = "word$number"
+                word to client.call(router.callers, chat(workspace, word, tokens = 5 + number % 7))
+            }
+            calls.forEachIndexed { number, (word, call) ->
+                val result = call.join()
+                assertTrue(result.isOwnStream(word, 5 + number % 7), "call $number got $result")
+            }
+            assertEquals(0, fleet.engines.values.sumOf { it.overruns.get() }, "over-limit starts in cold start")
+            assertEquals(0, fleet.engines.values.sumOf { it.refusals.get() }, "over-limit starts when warm")
+        }
+    }
+
+    @Test
+    fun `models, whole answers, services and bad requests are answered as clients expect`() {
+        TestFleet(plan).use { fleet ->
+            fleet.start()
+            val client = CallerClient(fleet.group)
+            val router = fleet.routers.first().callers
+            val workspace = plan.workspaces.first()
+            val key = mapOf("authorization" to "Bearer ${apiKey(workspace)}")
+
+            val models = client.call(router, Call(HttpMethod.GET, "/v1/models", "", key)).join()
+            assertEquals(200, models.status)
+            assertTrue("\"drafts\"" in models.body, models.body)
+
+            val whole = client.call(router, chat(workspace, "whole", 3, stream = false)).join()
+            assertTrue("whole-1 whole-2 whole-3" in whole.body, "$whole")
+
+            val order = client.call(router, order(workspace, "order-1")).join()
+            assertEquals("{\"done\":\"order-1\"}", order.body)
+
+            val stranger = client.call(router, chat(WorkspaceId("nobody"), "x", 1)).join()
+            assertEquals(401 to "not-run", stranger.status to stranger.outcome)
+
+            val badJson = Call(HttpMethod.POST, "/v1/chat/completions", "{", key)
+            assertEquals(400, client.call(router, badJson).join().status)
+
+            val badModel = Call(HttpMethod.POST, "/v1/chat/completions", "{\"model\":\"none\"}", key)
+            assertEquals(404, client.call(router, badModel).join().status)
+
+            val large = Call(HttpMethod.POST, "/v1/chat/completions", "x".repeat(2_000_000), key)
+            assertEquals(413, client.call(router, large).join().status)
+        }
+    }
+}
