--- /dev/null
+++ b/corneltrack-wire/src/main/kotlin/corneltrack/wire/ControlClient.kt
@@ -0,0 +1,182 @@
+package corneltrack.wire
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelDuplexHandler
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.ChannelPromise
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.FullHttpResponse
+import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ConcurrentLinkedDeque
+import java.util.concurrent.TimeUnit
+
+private const val CONNECT_TIMEOUT_MS = 1_000
+private const val DEFAULT_TIMEOUT_MS = 2_000L
+private const val MAXIMUM_ANSWER_BYTES = 64 * 1024 * 1024
+private const val KEPT_CONNECTIONS = 8
+
+/** Counts the bytes sent and received on a connection to an address. */
+public typealias TrafficCounter = (address: String, sent: Long, received: Long) -> Unit
+
+/**
+ * Sends control requests over kept connections, one request at a time on each.
+ *
+ * A connection whose answer is late is closed and never used again, so that no answer reaches another request.
+ */
+public class ControlClient(
+    private val group: EventLoopGroup,
+    private val traffic: TrafficCounter = { _, _, _ -> },
+) {
+    private val idle = ConcurrentHashMap<String, ConcurrentLinkedDeque<Channel>>()
+
+    /**
+     * Sends [request] to [address] (host and port) and returns what became of it.
+     *
+     * @param timeoutMs the time for the answer, in ms; 2 s by default.
+     */
+    public fun send(
+        address: String,
+        request: ControlRequest,
+        timeoutMs: Long = DEFAULT_TIMEOUT_MS,
+    ): CompletableFuture<ControlResult> {
+        val result = CompletableFuture<ControlResult>()
+        val target = HostAndPort.parse(address)
+        if (target == null) {
+            result.complete(ControlResult.NotSent("not an address: $address"))
+            return result
+        }
+        val kept = takeIdle(address)
+        if (kept != null) {
+            kept.exchange(address, request, timeoutMs, result)
+        } else {
+            connect(target, address, request, timeoutMs, result)
+        }
+        return result
+    }
+
+    private fun takeIdle(address: String): Channel? {
+        val queue = idle[address] ?: return null
+        return generateSequence { queue.pollFirst() }.firstOrNull { it.isActive }
+    }
+
+    private fun connect(
+        target: HostAndPort,
+        address: String,
+        request: ControlRequest,
+        timeoutMs: Long,
+        result: CompletableFuture<ControlResult>,
+    ) {
+        val connected = Bootstrap()
+            .group(group)
+            .channel(NioSocketChannel::class.java)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, minOf(CONNECT_TIMEOUT_MS, timeoutMs.toInt()))
+            .handler(object : ChannelInitializer<SocketChannel>() {
+                override fun initChannel(channel: SocketChannel) {
+                    channel.pipeline().addLast(
+                        CountingHandler { sent, received -> traffic(address, sent, received) },
+                        HttpClientCodec(),
+                        HttpObjectAggregator(MAXIMUM_ANSWER_BYTES),
+                    )
+                }
+            })
+            .connect(target.toSocketAddress())
+        connected.addListener {
+            if (connected.isSuccess) {
+                connected.channel().exchange(address, request, timeoutMs, result)
+            } else {
+                result.complete(ControlResult.NotSent(connected.cause().message ?: "connect failed"))
+            }
+        }
+    }
+
+    private fun Channel.exchange(
+        address: String,
+        request: ControlRequest,
+        timeoutMs: Long,
+        result: CompletableFuture<ControlResult>,
+    ) {
+        val timer = eventLoop().schedule({
+            if (result.complete(ControlResult.Lost("no answer within $timeoutMs ms"))) close()
+        }, timeoutMs, TimeUnit.MILLISECONDS)
+        pipeline().addLast(
+            AnswerHandler(result) { keepAlive ->
+                timer.cancel(false)
+                if (keepAlive) keep(address, this) else close()
+            },
+        )
+        writeAndFlush(request.encode(address)).addListener { written ->
+            if (!written.isSuccess) {
+                result.complete(ControlResult.Lost(written.cause().message ?: "write failed"))
+                close()
+            }
+        }
+    }
+
+    private fun keep(address: String, channel: Channel) {
+        val queue = idle.computeIfAbsent(address) { ConcurrentLinkedDeque() }
+        if (queue.size < KEPT_CONNECTIONS) queue.addFirst(channel) else channel.close()
+    }
+}
+
+private fun ControlRequest.encode(address: String): DefaultFullHttpRequest {
+    val content = Unpooled.copiedBuffer(body, Charsets.UTF_8)
+    val message = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path, content)
+    message.headers().set(HttpHeaderNames.HOST, address)
+    if (content.isReadable) {
+        message.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes())
+    }
+    secret?.let { message.headers().set(HttpHeaderNames.AUTHORIZATION, "Bearer $it") }
+    return message
+}
+
+private class AnswerHandler(
+    private val result: CompletableFuture<ControlResult>,
+    private val onEnd: (keepAlive: Boolean) -> Unit,
+) : SimpleChannelInboundHandler<FullHttpResponse>() {
+    override fun channelRead0(context: ChannelHandlerContext, message: FullHttpResponse) {
+        val body = message.content().toString(Charsets.UTF_8)
+        context.pipeline().remove(this)
+        onEnd(HttpUtil.isKeepAlive(message))
+        result.complete(ControlResult.Answered(message.status().code(), body))
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) {
+        result.complete(ControlResult.Lost("connection closed before the answer"))
+        context.fireChannelInactive()
+    }
+
+    @Deprecated("Netty keeps this method for inbound handlers")
+    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        result.complete(ControlResult.Lost(cause.message ?: cause.javaClass.simpleName))
+        context.close()
+    }
+}
+
+/** Counts the bytes that pass in both directions. */
+public class CountingHandler(private val count: (sent: Long, received: Long) -> Unit) : ChannelDuplexHandler() {
+    override fun channelRead(context: ChannelHandlerContext, message: Any) {
+        if (message is ByteBuf) count(0, message.readableBytes().toLong())
+        context.fireChannelRead(message)
+    }
+
+    override fun write(context: ChannelHandlerContext, message: Any, promise: ChannelPromise) {
+        if (message is ByteBuf) count(message.readableBytes().toLong(), 0)
+        context.write(message, promise)
+    }
+}
--- /dev/null
+++ b/corneltrack-wire/src/main/kotlin/corneltrack/wire/ControlServer.kt
@@ -0,0 +1,118 @@
+package corneltrack.wire
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpObjectAggregator
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import org.apache.logging.log4j.Level
+import org.apache.logging.log4j.LogManager
+import java.net.InetSocketAddress
+import java.security.MessageDigest
+
+private const val MAXIMUM_BODY_BYTES = 16 * 1024 * 1024
+private const val BEARER = "Bearer "
+private val logger = LogManager.getLogger("corneltrack.wire.ControlServer")
+
+/**
+ * Serves control requests over HTTP with JSON bodies.
+ *
+ * @param secret what callers must send as a bearer token; null lets everybody in.
+ * @param open paths that need no secret.
+ */
+public class ControlServer(
+    private val group: EventLoopGroup,
+    private val secret: String?,
+    private val open: Set<String> = emptySet(),
+    private val handler: ControlHandler,
+) : AutoCloseable {
+    private var channel: Channel? = null
+
+    /** The port that the server listens on. */
+    public val port: Int get() = (channel?.localAddress() as InetSocketAddress).port
+
+    /** Starts to listen on [address]. Fails where the address is taken. */
+    public fun start(address: HostAndPort): ControlServer {
+        val bootstrap = ServerBootstrap()
+            .group(group)
+            .channel(NioServerSocketChannel::class.java)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(object : ChannelInitializer<SocketChannel>() {
+                override fun initChannel(child: SocketChannel) {
+                    child.pipeline()
+                        .addLast(HttpServerCodec(), HttpObjectAggregator(MAXIMUM_BODY_BYTES), RequestHandler())
+                }
+            })
+        channel = bootstrap.bind(address.toSocketAddress()).sync().channel()
+        return this
+    }
+
+    override fun close() {
+        channel?.close()?.sync()
+    }
+
+    private fun allowed(request: FullHttpRequest): Boolean {
+        if (secret == null || request.uri().substringBefore('?') in open) {
+            return true
+        }
+        val sent = request.headers().get(HttpHeaderNames.AUTHORIZATION).orEmpty()
+        return constantTimeEquals(sent, BEARER + secret)
+    }
+
+    private inner class RequestHandler : SimpleChannelInboundHandler<FullHttpRequest>() {
+        override fun channelRead0(context: ChannelHandlerContext, message: FullHttpRequest) {
+            val keepAlive = HttpUtil.isKeepAlive(message)
+            if (!allowed(message)) {
+                val refusal = ControlResponse(HttpResponseStatus.UNAUTHORIZED, "{\"error\":\"a secret is required\"}")
+                context.answer(refusal, keepAlive)
+                return
+            }
+            val request = ControlRequest(message.method(), message.uri(), message.content().toString(Charsets.UTF_8))
+            handler(request).whenComplete { response, failure ->
+                if (failure != null) {
+                    logger.event("control_failed", Level.WARN) {
+                        field("path", request.path)
+                        field("reason", failure)
+                    }
+                }
+                val answer = response ?: ControlResponse(HttpResponseStatus.INTERNAL_SERVER_ERROR)
+                context.answer(answer, keepAlive)
+            }
+        }
+
+        @Deprecated("Netty keeps this method for inbound handlers")
+        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            context.close()
+        }
+    }
+}
+
+/** Compares two secrets in a time that does not tell where they differ. */
+public fun constantTimeEquals(one: String, other: String): Boolean =
+    MessageDigest.isEqual(one.toByteArray(), other.toByteArray())
+
+private fun ChannelHandlerContext.answer(response: ControlResponse, keepAlive: Boolean) {
+    val content = Unpooled.copiedBuffer(response.body, Charsets.UTF_8)
+    val message = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, response.status, content)
+    message.headers()
+        .set(HttpHeaderNames.CONTENT_TYPE, response.contentType)
+        .setInt(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes())
+    val written = writeAndFlush(message)
+    if (!keepAlive) {
+        written.addListener(ChannelFutureListener.CLOSE)
+    }
+}
--- /dev/null
+++ b/corneltrack-wire/src/main/kotlin/corneltrack/wire/LogClient.kt
@@ -0,0 +1,114 @@
+package corneltrack.wire
+
+import io.netty.handler.codec.http.HttpMethod
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.encodeToString
+import java.util.concurrent.CompletableFuture
+
+private const val APPEND_TIMEOUT_MS = 2_000L
+private const val READ_MARGIN_MS = 2_000L
+private const val READ_LIMIT = 1_000
+
+/** One record of a stream of the platform's log. */
+@Serializable
+public data class LogRecord(val offset: Long, val data: String)
+
+/**
+ * Holds one read of a stream.
+ *
+ * @property oldest the lowest offset still kept.
+ * @property next the offset after the last record of the stream.
+ */
+@Serializable
+public data class LogPage(val oldest: Long, val next: Long, val records: List<LogRecord> = emptyList())
+
+/** Carries the data of one record to append. */
+@Serializable
+public data class AppendRequest(val data: String)
+
+/** Carries the offset that a record was given. */
+@Serializable
+public data class AppendResponse(val offset: Long)
+
+/** Tells what became of an append. */
+public sealed interface AppendResult {
+    /** The record is in the stream at [offset]. */
+    public data class Appended(val offset: Long) : AppendResult
+
+    /** The record is not in the stream. */
+    public data class Refused(val reason: String) : AppendResult
+
+    /** The record may be in the stream; reading back tells. */
+    public data class Unknown(val reason: String) : AppendResult
+}
+
+/** Tells what became of a read. */
+public sealed interface ReadResult {
+    /** The log answered. */
+    public data class Page(val page: LogPage) : ReadResult
+
+    /** The log did not answer, or not sensibly. */
+    public data class Unavailable(val reason: String) : ReadResult
+}
+
+/** Reads and appends streams of the platform's log service at [address] (host and port). */
+public class LogClient(private val client: ControlClient, private val address: String) {
+    /** Appends one record to [stream]. */
+    public fun append(
+        stream: String,
+        data: String,
+        timeoutMs: Long = APPEND_TIMEOUT_MS,
+    ): CompletableFuture<AppendResult> {
+        val body = wireJson.encodeToString(AppendRequest(data))
+        val request = ControlRequest(HttpMethod.POST, "/streams/$stream/records", body)
+        return client.send(address, request, timeoutMs).thenApply(::appendResult)
+    }
+
+    /**
+     * Reads records of [stream] from offset [from] on.
+     *
+     * @param waitMs how long the log may wait for a first record, in ms; 0 answers at once.
+     */
+    public fun read(
+        stream: String,
+        from: Long,
+        waitMs: Long = 0,
+        limit: Int = READ_LIMIT,
+    ): CompletableFuture<ReadResult> {
+        val path = "/streams/$stream/records?from=$from&limit=$limit&waitMs=$waitMs"
+        return client.send(address, ControlRequest(HttpMethod.GET, path), waitMs + READ_MARGIN_MS)
+            .thenApply(::readResult)
+    }
+}
+
+private fun appendResult(result: ControlResult): AppendResult = when (result) {
+    is ControlResult.NotSent -> AppendResult.Refused(result.reason)
+    is ControlResult.Lost -> AppendResult.Unknown(result.reason)
+    is ControlResult.Answered ->
+        if (result.ok) {
+            decoded<AppendResponse, AppendResult>(result.body, { AppendResult.Appended(it.offset) }) {
+                AppendResult.Unknown(it)
+            }
+        } else {
+            AppendResult.Refused("status ${result.status}: ${result.body}")
+        }
+}
+
+private fun readResult(result: ControlResult): ReadResult = when (result) {
+    is ControlResult.NotSent -> ReadResult.Unavailable(result.reason)
+    is ControlResult.Lost -> ReadResult.Unavailable(result.reason)
+    is ControlResult.Answered ->
+        if (result.ok) {
+            decoded<LogPage, ReadResult>(result.body, { ReadResult.Page(it) }) { ReadResult.Unavailable(it) }
+        } else {
+            ReadResult.Unavailable("status ${result.status}")
+        }
+}
+
+private inline fun <reified T, R> decoded(body: String, onValue: (T) -> R, onFault: (String) -> R): R =
+    try {
+        onValue(wireJson.decodeFromString<T>(body))
+    } catch (fault: SerializationException) {
+        onFault("unreadable answer: ${fault.message}")
+    }
--- /dev/null
+++ b/corneltrack-wire/src/main/kotlin/corneltrack/wire/LogEvent.kt
@@ -0,0 +1,37 @@
+package corneltrack.wire
+
+import org.apache.logging.log4j.Level
+import org.apache.logging.log4j.Logger
+
+private val PLAIN = Regex("[A-Za-z0-9_.:/@+-]+")
+private const val FIRST_PRINTABLE = ' '
+private const val LAST_ASCII = '~'
+
+/** Collects the fields of one log line. */
+public class LogEvent internal constructor(name: String) {
+    private val line = StringBuilder("event=").append(escapeLogValue(name))
+
+    /** Adds a field; [value] is quoted and escaped where needed. */
+    public fun field(key: String, value: Any?) {
+        line.append(' ').append(key).append('=').append(escapeLogValue(value.toString()))
+    }
+
+    internal fun text(): String = line.toString()
+}
+
+/** Writes one line of key=value pairs at [level] where that level is enabled. */
+public fun Logger.event(name: String, level: Level = Level.INFO, fields: LogEvent.() -> Unit = {}) {
+    if (isEnabled(level)) {
+        log(level, LogEvent(name).apply(fields).text())
+    }
+}
+
+/** Returns [value] in a form that can neither end the field nor the line that it stands in. */
+public fun escapeLogValue(value: String): String =
+    if (PLAIN.matches(value)) value else value.map(::escaped).joinToString("", "\"", "\"")
+
+private fun escaped(character: Char): String = when {
+    character == '"' || character == '\\' -> "\\$character"
+    character in FIRST_PRINTABLE..LAST_ASCII -> character.toString()
+    else -> "\\u%04x".format(character.code)
+}
--- /dev/null
+++ b/corneltrack-world/src/main/kotlin/corneltrack/world/Finding.kt
@@ -0,0 +1,32 @@
+package corneltrack.world
+
+import kotlinx.serialization.Serializable
+
+/**
+ * Describes one fault in an input: where it stands, what was expected there and what was found.
+ *
+ * Validation collects all findings of an input and reports them together.
+ */
+@Serializable
+public data class Finding(
+    val place: String,
+    val expected: String,
+    val found: String,
+) {
+    override fun toString(): String = "$place: expected $expected, found $found"
+}
+
+/** Collects the findings of one input. */
+public class Findings {
+    private val collected = mutableListOf<Finding>()
+
+    /** Returns the findings so far, in the order in which they were added. */
+    public val all: List<Finding> get() = collected.toList()
+
+    /** Adds a finding at [place] unless [holds]. */
+    public fun require(holds: Boolean, place: String, expected: String, found: Any?) {
+        if (!holds) {
+            collected += Finding(place, expected, found.toString())
+        }
+    }
+}
--- /dev/null
+++ b/corneltrack-world/src/main/kotlin/corneltrack/world/Pool.kt
@@ -0,0 +1,63 @@
+package corneltrack.world
+
+import kotlinx.serialization.Serializable
+
+private const val DEFAULT_COLD_LIMIT = 1
+private const val DEFAULT_ENDPOINT_LIMIT = 8
+private const val DEFAULT_DEADLINE_MS = 120_000L
+private const val DEFAULT_SILENCE_LIMIT_MS = 10_000L
+private const val MAXIMUM_ENDPOINT_LIMIT = 4_096
+private const val MAXIMUM_TIME_MS = 3_600_000L
+
+/** Tells how a pool is called. */
+@Serializable
+public enum class PoolKind {
+    /** A model engine behind the OpenAI-compatible chat interface. */
+    MODEL,
+
+    /** A plain HTTP service reached below a route. */
+    SERVICE,
+}
+
+/**
+ * Describes endpoints that are interchangeable for callers.
+ *
+ * @property route the path prefix of a plain service, for example `/orders`; null for a model.
+ * @property coldLimit the concurrent requests that an endpoint bears in cold start.
+ * @property endpointLimit the most concurrent requests ever sent to one endpoint.
+ * @property deadlineMs the time from arrival to the latest start of a request without a deadline header, in ms.
+ * @property silenceLimitMs the longest silence of an open answer before it counts as lost, in ms.
+ * @property repeatableMethods the HTTP methods of a plain service that are idempotent.
+ */
+@Serializable
+public data class Pool(
+    val id: PoolId,
+    val kind: PoolKind,
+    val route: String? = null,
+    val coldLimit: Int = DEFAULT_COLD_LIMIT,
+    val endpointLimit: Int = DEFAULT_ENDPOINT_LIMIT,
+    val deadlineMs: Long = DEFAULT_DEADLINE_MS,
+    val silenceLimitMs: Long = DEFAULT_SILENCE_LIMIT_MS,
+    val repeatableMethods: Set<String> = setOf("GET", "HEAD", "OPTIONS"),
+) {
+    /** Adds a finding below [place] for each value out of range. */
+    public fun check(place: String, findings: Findings) {
+        val routed = kind == PoolKind.MODEL || route?.startsWith("/") == true
+        findings.require(id.value.isNotBlank(), "$place.id", "a name", id)
+        findings.require(routed, "$place.route", "a path that starts with /", route)
+        findings.require(route != "/v1" && route?.startsWith("/v1/") != true, "$place.route", "not below /v1", route)
+        findings.require(endpointLimit in 1..MAXIMUM_ENDPOINT_LIMIT, "$place.endpointLimit", "1..4096", endpointLimit)
+        findings.require(coldLimit in 1..endpointLimit, "$place.coldLimit", "1..endpointLimit", coldLimit)
+        findings.require(deadlineMs in 1..MAXIMUM_TIME_MS, "$place.deadlineMs", "1..3600000", deadlineMs)
+        findings.require(silenceLimitMs in 1..MAXIMUM_TIME_MS, "$place.silenceLimitMs", "1..3600000", silenceLimitMs)
+    }
+}
+
+/** One pool in one data centre: the unit in which slots are allocated. */
+@Serializable
+public data class Cell(val pool: PoolId, val dataCentre: DataCentreId) : Comparable<Cell> {
+    override fun compareTo(other: Cell): Int =
+        compareValuesBy(this, other, { it.pool.value }, { it.dataCentre.value })
+
+    override fun toString(): String = "$pool@$dataCentre"
+}
