Damp slot moves and lend unclaimed slots to near routers

Cause: in steady overload utilisation was 50 %. Slots due to routers of other regions stood idle until their next report, 2 s apart, and the division followed each small difference in service, so that slots moved between routers all the time. Ruled out: endpoint limits (all warm), lost leases (support 3 of 3 in each cell).

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/CellAllocator.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/CellAllocator.kt
@@ -8,6 +8,8 @@
 import corneltrack.world.WorkspaceId
 
 private const val DEFAULT_QUANTUM = 100.0
+private const val QUANTUM_REQUESTS = 4
+private const val LIMITS_EVERY_GRANTS = 16L
 private const val QUANTUM_LEARNING = 0.05
 
 /** What an allocator is told about its cell by configuration and instance list. */
@@ -126,26 +128,37 @@
         val backlogged = demands.filter { it.waiting > 0 }.mapTo(HashSet()) { it.workspace }
         service.advance(backlogged)
         val slots = capacity.usable(nowMs)
-        division = divide(slots, demands, service::of, terms, quantum)
+        division = divide(slots, demands, service::of, terms, quantum * QUANTUM_REQUESTS)
     }
 
     private fun grant(holder: Holder, nowMs: Long): CellGrant {
         val lease = capacity.leaseMs(nowMs)
-        val due = division.targets[holder.id] ?: 0
-        val target = if (lease > 0) due + capacity.ahead(holder, division.spare) else 0
+        val target = if (lease > 0) capacity.target(holder, division, nowMs) else 0
         val slots = capacity.choose(holder, target, nowMs)
         sequence++
         holder.onGrant(slots, sequence, nowMs + lease)
-        return CellGrant(
-            cell = cell,
-            sequence = sequence,
-            slots = slots,
-            leaseMs = lease,
-            virtual = holder.workspaces.keys.associateWith { service.of(it).toLong() },
-            deferred = division.deferred.filterTo(HashSet()) { it in holder.workspaces },
-            limits = book.limits(),
-        )
+        val bare = CellGrant(cell, sequence, slots, lease, unmet = target > slots.values.sum())
+        val limits = if (sequence % LIMITS_EVERY_GRANTS == 1L) book.limits() else emptyMap()
+        return if (holder.local) {
+            bare.withOrder(
+                service,
+                division,
+                holder.workspaces.keys
+            ).copy(limits = limits)
+        } else {
+            bare
+        }
     }
 
     private fun inFlight(id: EndpointId): Int = holders.all.sumOf { it.running[id] ?: 0 }
 }
+
+/** Adds the order of [workspaces], which only the routers of the home group need. */
+private fun CellGrant.withOrder(
+    service: VirtualService,
+    division: Division,
+    workspaces: Set<WorkspaceId>,
+): CellGrant = copy(
+    virtual = workspaces.associateWith { service.of(it).toLong() },
+    deferred = division.deferred.filterTo(HashSet()) { it in workspaces },
+)
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/CellCapacity.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/CellCapacity.kt
@@ -1,9 +1,11 @@
 package corneltrack.policy
 
 import corneltrack.world.EndpointId
+import kotlin.math.max
 import kotlin.math.min
 
 private const val AHEAD_SLOTS = 2
+private const val CLAIM_MS = 600L
 
 /** Derives, from what is known of one cell, which slots may be lent to a router. Not thread-safe. */
 internal class CellCapacity(
@@ -18,13 +20,30 @@
     /** Returns how long a lease may last: never longer than the support that it rests on. */
     fun leaseMs(nowMs: Long): Long = min(times.leaseMs, supporters.firstLapse(nowMs) - nowMs)
 
+    /**
+     * Returns how many slots [holder] should have.
+     *
+     * Beyond its due a router of the home group also gets what others do not claim at the moment, so that no slot idles
+     * until a slow link lets its next user know of it.
+     */
+    fun target(holder: Holder, division: Division, nowMs: Long): Int {
+        val due = division.targets[holder.id] ?: 0
+        if (!holder.local) {
+            return due
+        }
+        val claimed = holders.all.filter { it !== holder && nowMs - it.lastReportMs < CLAIM_MS }
+            .sumOf { max(0, (division.targets[it.id] ?: 0) - it.held) }
+        val reachable = free(nowMs) + holder.held - claimed
+        return max(due + ahead(holder, division.spare), min(reachable, holder.demand))
+    }
+
+    private fun free(nowMs: Long): Int =
+        book.ids.sumOf { max(0, usable(it, nowMs) - holders.committed(it) - lost(it, nowMs)) }
+
     /** Returns how many [spare] slots to lend [holder] ahead of need, so that a request can start at once. */
-    fun ahead(holder: Holder, spare: Int): Int {
+    private fun ahead(holder: Holder, spare: Int): Int {
         val locals = holders.all.count { it.local }
-        if (!holder.local || locals == 0) {
-            return 0
-        }
-        return min(spare / locals, AHEAD_SLOTS + holder.running.values.sum())
+        return if (locals == 0) 0 else min(spare / locals, AHEAD_SLOTS + holder.running.values.sum())
     }
 
     /** Picks [target] slots for [holder]: first what it runs, then what it has, then the least loaded endpoints. */
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/Exchange.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/Exchange.kt
@@ -15,13 +15,13 @@
  * @property served the cost served in the cell since the router's incarnation began.
  * @property oldestWaitMs how long the oldest of [waiting] has waited, in ms.
  */
-@Serializable
+@Serializable(with = WorkspaceReportSerializer::class)
 public data class WorkspaceReport(
-    @SerialName("w") val workspace: WorkspaceId,
-    @SerialName("q") val waiting: Int = 0,
-    @SerialName("r") val running: Int = 0,
-    @SerialName("s") val served: Long = 0,
-    @SerialName("o") val oldestWaitMs: Long = 0,
+    val workspace: WorkspaceId,
+    val waiting: Int = 0,
+    val running: Int = 0,
+    val served: Long = 0,
+    val oldestWaitMs: Long = 0,
 )
 
 /** Counts how requests at one endpoint ended since the last acknowledged report. */
@@ -45,7 +45,7 @@
  */
 @Serializable
 public data class CellReport(
-    @SerialName("c") val cell: Cell,
+    @SerialName("c") @Serializable(with = CellSerializer::class) val cell: Cell,
     @SerialName("h") val supports: Boolean = false,
     @SerialName("a") val acknowledged: Long = 0,
     @SerialName("r") val running: Map<EndpointId, Int> = emptyMap(),
@@ -64,17 +64,19 @@
  * @property leaseMs how long the slots may be used for new work, counted from when the router sent its report.
  * @property virtual the virtual service by workspace, for the workspaces that the router reported.
  * @property deferred the workspaces at their cap while others wait.
- * @property limits the limit of each endpoint of the cell over all routers.
+ * @property limits the limit of each endpoint of the cell over all routers; empty in most grants.
+ * @property unmet whether more slots are due to the router as soon as others hand them back.
  */
 @Serializable
 public data class CellGrant(
-    @SerialName("c") val cell: Cell,
+    @SerialName("c") @Serializable(with = CellSerializer::class) val cell: Cell,
     @SerialName("q") val sequence: Long,
     @SerialName("s") val slots: Map<EndpointId, Int> = emptyMap(),
     @SerialName("t") val leaseMs: Long = 0,
     @SerialName("v") val virtual: Map<WorkspaceId, Long> = emptyMap(),
     @SerialName("d") val deferred: Set<WorkspaceId> = emptySet(),
     @SerialName("l") val limits: Map<EndpointId, Int> = emptyMap(),
+    @SerialName("u") val unmet: Boolean = false,
 )
 
 /**
@@ -117,7 +119,7 @@
  */
 @Serializable
 public data class ServiceSummary(
-    val cell: Cell,
+    @Serializable(with = CellSerializer::class) val cell: Cell,
     val term: String,
     val served: Map<WorkspaceId, Long>,
 )
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/FairQueue.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/FairQueue.kt
@@ -26,11 +26,10 @@
 
     /** Adds [item] unless its workspace already has [limit] waiting. Returns whether it was added. */
     public fun offer(item: T, limit: Int): Boolean {
-        val queue = queues.getOrPut(item.workspace) { ArrayDeque() }
-        if (queue.size >= limit) {
+        if (count(item.workspace) >= limit) {
             return false
         }
-        queue.addLast(item)
+        queues.getOrPut(item.workspace) { ArrayDeque() }.addLast(item)
         return true
     }
 
@@ -48,8 +47,12 @@
     /** Returns the oldest waiting request of [workspace]. */
     public fun peek(workspace: WorkspaceId): T? = queues[workspace]?.firstOrNull()
 
-    /** Returns the waiting requests of [workspace], oldest first. */
-    public fun waiting(workspace: WorkspaceId): List<T> = queues[workspace].orEmpty().toList()
+    /** Returns the number of waiting requests of [workspace]. */
+    public fun count(workspace: WorkspaceId): Int = queues[workspace]?.size ?: 0
+
+    /** Returns how many of the first [limit] waiting requests of [workspace] arrived at [latestMs] or before. */
+    public fun countArrivedBy(workspace: WorkspaceId, latestMs: Long, limit: Int): Int =
+        queues[workspace].orEmpty().asSequence().take(limit).takeWhile { it.arrivedMs <= latestMs }.count()
 
     /** Removes and returns the requests whose deadline has passed at [nowMs]. */
     public fun expire(nowMs: Long): List<T> = drain { it.deadlineMs <= nowMs }
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/Holders.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/Holders.kt
@@ -7,6 +7,12 @@
 /** What an allocator knows of one router that holds or wants slots of its cell. Not thread-safe. */
 internal class Holder(val id: InstanceId, val incarnation: String) {
     val origin: String get() = "$id/$incarnation"
+
+    /** The slots that the router may be using. */
+    val held: Int get() = committed.values.sum()
+
+    /** The slots that the router could use. */
+    val demand: Int get() = workspaces.values.sumOf { it.waiting + it.running }
     var local = false
     var leaseUntilMs = 0L
     var lastReportMs = 0L
@@ -64,8 +70,8 @@
         return Holder(id, incarnation).also { byId[id] = it }
     }
 
-    /** Returns the slots of [endpoint] that anyone but [except] may be using. */
-    fun committed(endpoint: EndpointId, except: Holder): Int =
+    /** Returns the slots of [endpoint] that anyone, but [except], may be using. */
+    fun committed(endpoint: EndpointId, except: Holder? = null): Int =
         (byId.values + former).filter { it !== except }.sumOf { it.committed[endpoint] ?: 0 }
 
     /** Returns the requests known to run on [endpoint] at routers whose lease is alive. */
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/CallerServer.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/CallerServer.kt
@@ -21,7 +21,6 @@
 
 /** Listens for callers. */
 internal class CallerServer(
-    private val acceptors: EventLoopGroup,
     private val workers: EventLoopGroup,
     private val handler: () -> CallerConnection,
 ) : AutoCloseable {
@@ -32,7 +31,7 @@
     fun start(address: HostAndPort): CallerServer {
         val codec = HttpDecoderConfig().setMaxInitialLineLength(LINE_LIMIT_BYTES).setMaxHeaderSize(HEAD_LIMIT_BYTES)
         channel = ServerBootstrap()
-            .group(acceptors, workers)
+            .group(workers)
             .channel(NioServerSocketChannel::class.java)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .childOption(ChannelOption.TCP_NODELAY, true)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/CellReports.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/CellReports.kt
@@ -15,12 +15,16 @@
     var servedSent: Map<WorkspaceId, Long> = emptyMap()
     var waitingSent = false
 
+    /** Whether more slots are due than could be lent so far. */
+    var unmet = false
+
     /** Takes in a grant. Returns false where a new term of the allocator has begun, which must first be told all. */
     fun accept(grant: CellGrant): Boolean {
         val current = grant.sequence > acknowledged
         if (current) {
             acknowledged = grant.sequence
-            limits = grant.limits
+            limits = grant.limits.ifEmpty { limits }
+            unmet = grant.unmet
         } else {
             restart()
         }
@@ -58,7 +62,7 @@
             waiting = waiting[workspace]?.count ?: 0,
             running = running[workspace] ?: 0,
             served = served[workspace] ?: 0,
-            oldestWaitMs = waiting[workspace]?.oldestMs ?: 0,
+            oldestWaitMs = waiting[workspace]?.oldestMs?.takeIf { home } ?: 0,
         )
     }
     val first = memory.acknowledged == 0L
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/Exchanger.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/Exchanger.kt
@@ -14,6 +14,7 @@
 private const val ACTIVE_PERIOD_MS = 100L
 private const val IDLE_PERIOD_MS = 500L
 private const val REMOTE_PERIOD_MS = 2_000L
+private const val UNMET_PERIOD_MS = 400L
 private const val URGENT_PERIOD_MS = 20L
 private const val FAILURES_TO_AVOID = 2
 
@@ -54,8 +55,8 @@
     }
 
     private fun wantsRemote(cell: Cell): Boolean {
-        val snapshot = parts.runner.scheduler(cell.pool).snapshot(parts.clock())
-        return snapshot.overdue.isNotEmpty() || snapshot.runningByCell[cell].orEmpty().isNotEmpty()
+        val activity = parts.runner.scheduler(cell.pool).activity(parts.clock())
+        return activity.overdue || cell in activity.runningIn
     }
 
     private fun sendIfDue(allocator: Instance, cells: List<PlannedReport>, nowMs: Long) {
@@ -76,15 +77,17 @@
     }
 
     private fun period(link: AllocatorLink, cells: List<PlannedReport>, nowMs: Long): Long {
-        val snapshots = cells.map { it to parts.runner.scheduler(it.cell.pool).snapshot(nowMs) }
-        val home = snapshots.filter { it.first.home }
-        val newlyWaiting = home.any { (plan, snapshot) ->
-            snapshot.waiting.isNotEmpty() && link.cells[plan.cell]?.waitingSent != true
+        val home = cells.filter { it.home }
+        val activities = home.associateWith { parts.runner.scheduler(it.cell.pool).activity(nowMs) }
+        val newlyWaiting = activities.any { (plan, activity) ->
+            activity.waiting && link.cells[plan.cell]?.waitingSent != true
         }
         return when {
             link.token == null || newlyWaiting -> URGENT_PERIOD_MS
-            home.any { it.second.waiting.isNotEmpty() || it.second.running.isNotEmpty() } -> ACTIVE_PERIOD_MS
+            activities.any { (plan, activity) -> activity.waiting || plan.cell in activity.runningIn } ->
+                ACTIVE_PERIOD_MS
             home.isNotEmpty() -> IDLE_PERIOD_MS
+            link.cells.values.any { it.unmet } -> UNMET_PERIOD_MS
             else -> REMOTE_PERIOD_MS
         }
     }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/PoolScheduler.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/PoolScheduler.kt
@@ -15,6 +15,9 @@
 /** Holds requests that will not start here any more. */
 internal class ExpiredRequests(val late: List<RoutedRequest>, val isolated: List<RoutedRequest>)
 
+/** Tells whether anything waits or runs in one pool at this router. */
+internal data class PoolActivity(val waiting: Boolean, val overdue: Boolean, val runningIn: Set<Cell>)
+
 /** Shows what one pool does at this router, for reports to allocators and operators. */
 internal class PoolSnapshot(
     val waiting: Map<WorkspaceId, WaitCount>,
@@ -42,22 +45,20 @@
     private val lock = ReentrantLock()
     private val state = PoolState(views, spillAfterMs, choose, meter)
 
-    /** Lets [request] wait and starts what can start. Returns false where its workspace already waits too much. */
+    /**
+     * Lets [request] wait and starts what can start. One that was attempted before waits ahead of others.
+     *
+     * @return false where its workspace already waits too much.
+     */
     fun submit(request: RoutedRequest, nowMs: Long): Boolean {
         val limit = views.current.configuration.agreement.termsFor(request.workspace).waitingLimit
-        val queued = lock.withLock { state.queue.offer(request, limit) }
+        val queued = lock.withLock { state.enter(request, limit) }
         if (queued) {
             pump(nowMs)
         }
         return queued
     }
 
-    /** Lets a request whose attempt failed wait again, ahead of its workspace's others. */
-    fun resubmit(request: RoutedRequest, nowMs: Long) {
-        lock.withLock { state.queue.putBack(request) }
-        pump(nowMs)
-    }
-
     /** Stops a request from waiting. Returns whether it was. */
     fun withdraw(request: RoutedRequest): Boolean = lock.withLock { state.queue.remove(request) }
 
@@ -84,6 +85,8 @@
     /** Returns whether any slots are lent to this router. */
     fun leased(nowMs: Long): Boolean = lock.withLock { state.slots.anyLease(nowMs) }
 
+    fun activity(nowMs: Long): PoolActivity = lock.withLock { state.activity(nowMs) }
+
     fun snapshot(nowMs: Long): PoolSnapshot = lock.withLock { state.snapshot(nowMs) }
 
     /** Returns the mean cost of the requests that ended lately, or 0 where none did. */
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/PoolState.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/PoolState.kt
@@ -11,6 +11,7 @@
 
 private const val PRIOR_COST = 100.0
 private const val MEAN_LEARNING = 0.1
+private const val OVERDUE_LIMIT = 256
 
 /** A request that has been given a slot. */
 internal class Start(val request: RoutedRequest, val endpoint: Endpoint)
@@ -34,6 +35,10 @@
     var meanCost = 0.0
         private set
 
+    /** Lets [request] wait. Returns false where its workspace already has [limit] waiting. */
+    fun enter(request: RoutedRequest, limit: Int): Boolean =
+        if (request.attempts == 0) queue.offer(request, limit) else true.also { queue.putBack(request) }
+
     /** Applies a grant. [virtual] is null for cells of other home groups. */
     fun onLease(lease: Lease, virtual: Map<WorkspaceId, Long>?, deferred: Set<WorkspaceId>) {
         slots.onLease(lease)
@@ -67,13 +72,21 @@
         }
     }
 
+    /** Returns whether requests wait, wait past the spill time, or run, without a full snapshot. */
+    fun activity(nowMs: Long): PoolActivity = PoolActivity(
+        waiting = queue.workspaces.isNotEmpty(),
+        overdue = queue.workspaces.any { nowMs - queue.peek(it)!!.arrivedMs >= spillAfterMs },
+        runningIn = running.filterValues { it.isNotEmpty() }.keys.toSet(),
+    )
+
     fun snapshot(nowMs: Long): PoolSnapshot {
-        val waiting = queue.workspaces.associateWith { queue.waiting(it) }.filterValues { it.isNotEmpty() }
-        val overdue = waiting.mapValues { (_, items) -> items.filter { nowMs - it.arrivedMs >= spillAfterMs } }
-            .filterValues { it.isNotEmpty() }
+        val waiting = queue.workspaces.associateWith { WaitCount(queue.count(it), nowMs - queue.peek(it)!!.arrivedMs) }
+        val overdue = waiting.filterValues { it.oldestMs >= spillAfterMs }.mapValues { (workspace, all) ->
+            all.copy(count = queue.countArrivedBy(workspace, nowMs - spillAfterMs, OVERDUE_LIMIT))
+        }
         return PoolSnapshot(
-            waiting = waiting.mapValues { (_, items) -> count(items, nowMs) },
-            overdue = overdue.mapValues { (_, items) -> count(items, nowMs) },
+            waiting = waiting,
+            overdue = overdue,
             running = slots.running(),
             runningByCell = running.mapValues { HashMap(it.value) },
             virtual = order.known(),
@@ -98,8 +111,5 @@
         }
     }
 
-    private fun count(items: List<RoutedRequest>, nowMs: Long): WaitCount =
-        WaitCount(items.size, nowMs - items.first().arrivedMs)
-
     private fun open(free: Map<EndpointId, Int>): Map<EndpointId, Int> = free.filterKeys { views.current.isOpen(it) }
 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/RequestRunner.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/RequestRunner.kt
@@ -165,7 +165,7 @@
             }
             when (step) {
                 is NextStep.Finish -> close(request, if (end is AttemptEnd.Done) "done" else "caller_left")
-                is NextStep.Retry -> scheduler(request.pool.id).resubmit(request, clock())
+                is NextStep.Retry -> scheduler(request.pool.id).submit(request, clock()).let { }
                 is NextStep.RefuseNotRun -> refuse(Outcome.NOT_RUN, step.reason)
                 is NextStep.AnswerUnknown -> refuse(Outcome.UNKNOWN, step.reason)
                 is NextStep.Abort -> {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/Router.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/Router.kt
@@ -18,6 +18,7 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 import io.netty.handler.codec.http.HttpMethod
+import io.netty.util.concurrent.DefaultThreadFactory
 import kotlinx.serialization.encodeToString
 import org.apache.logging.log4j.Level
 import org.apache.logging.log4j.LogManager
@@ -40,8 +41,8 @@
     private val incarnation = UUID.randomUUID().toString().replace("-", "").take(INCARNATION_LENGTH)
     private val clock = monotonicClock
     private val times = LeaseTimes()
-    private val workers = eventLoops(settings.threads)
-    private val controlLoops = eventLoops(1)
+    private val workers = eventLoops(settings.threads, "worker")
+    private val controlLoops = eventLoops(1, "control-io")
     private val control: ScheduledExecutorService = Executors.newSingleThreadScheduledExecutor { task ->
         Thread(task, "control").apply { isDaemon = true }
     }
@@ -78,10 +79,7 @@
     )
     private val gateway = Gateway(views, settings, runner, keyed, clock)
     private val surface = ControlSurface(Source(), duty, views, keyed.ledger, crashes, control)
-    private val callers = CallerServer(
-        controlLoops,
-        workers
-    ) { CallerConnection(settings.limits.bodyBytes, gateway::handle) }
+    private val callers = CallerServer(workers) { CallerConnection(settings.limits.bodyBytes, gateway::handle) }
     private val controlServer = ControlServer(controlLoops, settings.secret, OPEN_PATHS, surface::handle)
     private var ticks = 0L
 
@@ -211,5 +209,5 @@
     }
 }
 
-private fun eventLoops(threads: Int): EventLoopGroup =
-    MultiThreadIoEventLoopGroup(threads, NioIoHandler.newFactory())
+private fun eventLoops(threads: Int, name: String): EventLoopGroup =
+    MultiThreadIoEventLoopGroup(threads, DefaultThreadFactory(name), NioIoHandler.newFactory())
--- a/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/FleetLinks.kt
+++ b/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/FleetLinks.kt
@@ -9,7 +9,11 @@
 /** Names a link from a router to a router, endpoint, log or list. */
 public data class LinkName(val from: String, val to: String)
 
-/** Holds the proxies on all links of a test fleet, each started when it is first used. */
+/**
+ * Holds the proxies on all links of a test fleet, each started when it is first used.
+ *
+ * First use waits for a socket and must not happen on an event loop.
+ */
 public class FleetLinks(private val plan: FleetPlan, private val group: EventLoopGroup) : AutoCloseable {
     private val proxies = ConcurrentHashMap<LinkName, FaultProxy>()
 
@@ -28,7 +32,8 @@
 
     /** Returns [fleet] as [requester] sees it. Operators and tests see the true addresses. */
     public fun seenBy(requester: String, fleet: FleetList): FleetList {
-        if (fleet.instances.none { it.id.value == requester }) {
+        val router = fleet.instances.any { it.id.value == requester }
+        if (!router) {
             return fleet
         }
         return FleetList(
--- a/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/RouterProcess.kt
+++ b/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/RouterProcess.kt
@@ -5,12 +5,21 @@
 import java.nio.file.Files
 import java.nio.file.Path
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
 
 private const val HEAP = "-Xmx192m"
 private const val STOP_TIMEOUT_SECONDS = 60L
 
-/** Returns a TCP port that was free a moment ago. */
-public fun freePort(): Int = ServerSocket(0).use { it.localPort }
+private const val FIRST_PORT = 18_000
+private const val PORTS = 12_000
+private val nextPort = AtomicInteger((ProcessHandle.current().pid() * PORT_STRIDE % PORTS).toInt())
+private const val PORT_STRIDE = 37
+
+/** Returns a free TCP port below the range from which the system picks ports for connections. */
+public fun freePort(): Int =
+    generateSequence { FIRST_PORT + nextPort.getAndIncrement() % PORTS }.first { port ->
+        runCatching { ServerSocket(port).close() }.isSuccess
+    }
 
 /**
  * Runs one real router process.
--- /dev/null
+++ b/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/Scenario.kt
@@ -0,0 +1,167 @@
+package corneltrack.testbed
+
+import corneltrack.world.BringBack
+import corneltrack.world.DataCentreId
+import corneltrack.world.TakeOut
+import corneltrack.world.Target
+import corneltrack.world.TargetKind
+import corneltrack.world.WorkspaceId
+
+private const val FLOOD_FACTOR = 10
+private const val SETTLE_MS = 3_000L
+
+/** What happens to a fleet during a measurement. */
+public enum class Scenario(public val title: String) {
+    STEADY("steady overload"),
+    FLOOD("one workspace floods"),
+    DATA_CENTRE_OUT("data centre out and back"),
+    PARTITION("a region cut off and back"),
+    LOG_OUTAGE("log down"),
+    ROUTER_KILLED("a router killed"),
+}
+
+/** One line of the table of results. */
+public data class ScenarioResult(
+    val scenario: Scenario,
+    val gap: Double,
+    val gapFirstHalf: Double,
+    val utilisation: Double,
+    val controlBytes: Double,
+    val crossRegionControlBytes: Double,
+    val crossRegionRequestBytes: Double,
+    val controlCore: Double,
+    val residentBytes: Long,
+    val counts: String,
+    val overruns: Int,
+    val notes: String,
+)
+
+/** The fleet that measurements run on: the shape and size of today's deployments. */
+public val measuredPlan: FleetPlan = fleetPlan {
+    listOf("kumamoto", "oita", "kagoshima").forEach {
+        dataCentre(it, routers = ROUTERS_PER_REGION, engines = ENGINES_PER_REGION, services = 1)
+    }
+    workspaces = WORKSPACES
+    engine = EngineBehaviour(batch = BATCH, firstTokenMs = FIRST_TOKEN_MS, tokenMs = TOKEN_MS)
+    regionDelayMs = REGION_DELAY_MS
+    listLagMs = LIST_LAG_MS
+}
+
+/** The tokens of each request of [workspace]; the largest is [LARGEST_COST]. */
+internal fun tokensOf(workspace: WorkspaceId): Int = when (numberOf(workspace) % SIZES) {
+    0 -> LARGEST_COST
+    1 -> MEDIUM_COST
+    else -> SMALL_COST
+}
+
+/** Spreads workspaces unevenly: a few large ones at all routers, most small ones in the first region. */
+internal fun unevenBacklogs(fleet: TestFleet, flooding: Boolean): List<Backlog> {
+    val regions = fleet.routers.groupBy { it.id.substringBefore('-') }.values.toList()
+    return fleet.plan.workspaces.flatMap { workspace ->
+        val number = numberOf(workspace)
+        val flood = if (flooding && number == 1) FLOOD_FACTOR else 1
+        when {
+            number <= LARGE -> fleet.routers.map { Backlog(workspace, it.callers, LARGE_CALLS * flood) }
+            number <= LARGE + FIRST_REGION -> regions[0].map { Backlog(workspace, it.callers, SMALL_CALLS) }
+            number % 2 == 0 -> regions[1].map { Backlog(workspace, it.callers, SMALL_CALLS) }
+            else -> regions[2].map { Backlog(workspace, it.callers, SMALL_CALLS) }
+        }
+    }
+}
+
+/** Runs the disturbance of [scenario] within [lengthMs] and returns what else was seen. */
+internal fun disturb(scenario: Scenario, fleet: TestFleet, probe: FleetProbe, lengthMs: Long): String =
+    when (scenario) {
+        Scenario.STEADY, Scenario.FLOOD -> "".also { Thread.sleep(lengthMs) }
+        Scenario.DATA_CENTRE_OUT -> dataCentreOut(fleet, probe, lengthMs)
+        Scenario.PARTITION -> partition(fleet, lengthMs)
+        Scenario.LOG_OUTAGE -> logOutage(fleet, lengthMs)
+        Scenario.ROUTER_KILLED -> routerKilled(fleet, lengthMs)
+    }
+
+private fun dataCentreOut(fleet: TestFleet, probe: FleetProbe, lengthMs: Long): String {
+    val target = Target(TargetKind.DATA_CENTRE, "oita")
+    Thread.sleep(lengthMs / QUARTERS)
+    val offset = fleet.change(TakeOut(target))
+    val inForceMs = timeInForce(fleet, offset)
+    Thread.sleep(SETTLE_MS - inForceMs.coerceAtMost(SETTLE_MS))
+    val before = started(fleet, DataCentreId("oita"))
+    probe.inService = { !it.startsWith("oita") }
+    Thread.sleep(lengthMs / QUARTERS)
+    val late = started(fleet, DataCentreId("oita")) - before
+    val back = timeInForce(fleet, fleet.change(BringBack(target)))
+    Thread.sleep(lengthMs / QUARTERS)
+    probe.inService = { true }
+    Thread.sleep(lengthMs / QUARTERS)
+    return "in force after $inForceMs/$back ms; new work after 3 s: $late"
+}
+
+private fun partition(fleet: TestFleet, lengthMs: Long): String {
+    val inside = fleet.routers.map { it.id }.filter { it.startsWith("oita") }.toSet()
+    val members = fleet.routers.map { it.id } + fleet.engines.keys.map { it.value } +
+        fleet.services.keys.map { it.value } + listOf("log", "list")
+    val outside = members.filterNot { it.startsWith("oita") }.toSet()
+    val engines = members.filter { it.startsWith("oita-engine") }.toSet()
+    Thread.sleep(lengthMs / QUARTERS)
+    fleet.proxies.between(inside, outside, LinkFault.SILENT)
+    fleet.proxies.between(engines, outside, LinkFault.SILENT)
+    Thread.sleep(lengthMs / 2)
+    val offset = fleet.change(TakeOut(Target(TargetKind.ENDPOINT, "kumamoto-service-1")))
+    fleet.proxies.between(inside, outside, LinkFault.NONE)
+    fleet.proxies.between(engines, outside, LinkFault.NONE)
+    val inForceMs = timeInForce(fleet, offset)
+    Thread.sleep(lengthMs / QUARTERS)
+    return "configuration in force $inForceMs ms after rejoining"
+}
+
+private fun logOutage(fleet: TestFleet, lengthMs: Long): String {
+    Thread.sleep(lengthMs / QUARTERS)
+    fleet.log.down = true
+    Thread.sleep(lengthMs / 2)
+    fleet.log.down = false
+    val inForceMs = timeInForce(fleet, fleet.change(TakeOut(Target(TargetKind.ENDPOINT, "kumamoto-service-1"))))
+    Thread.sleep(lengthMs / QUARTERS)
+    return "configuration in force $inForceMs ms after the log came back"
+}
+
+private fun routerKilled(fleet: TestFleet, lengthMs: Long): String {
+    Thread.sleep(lengthMs / QUARTERS)
+    val victim = fleet.routers.first { it.id.startsWith("oita") }
+    victim.kill()
+    fleet.list.update { list -> list.copy(instances = list.instances.filterNot { it.id.value == victim.id }) }
+    Thread.sleep(lengthMs / QUARTERS * (QUARTERS - 1))
+    return "killed ${victim.id}"
+}
+
+/** Returns how long it takes until every running router has applied [offset], in ms. */
+private fun timeInForce(fleet: TestFleet, offset: Long): Long {
+    val beganMs = nowMs()
+    await("configuration $offset in force") {
+        fleet.routers.filter { it.alive }.all { (fleet.status(it)?.configurationOffset ?: -1) >= offset }
+    }
+    return nowMs() - beganMs
+}
+
+private fun started(fleet: TestFleet, dataCentre: DataCentreId): Long =
+    fleet.engines.filterKeys { it.value.startsWith("$dataCentre-") }.values.sumOf { it.started.get() }
+
+private fun numberOf(workspace: WorkspaceId): Int = workspace.value.filter { it.isDigit() }.toInt()
+
+/** The tokens of the largest request. */
+internal const val LARGEST_COST: Int = 100
+private const val MEDIUM_COST = 50
+private const val SMALL_COST = 25
+private const val SIZES = 4
+private const val ROUTERS_PER_REGION = 3
+private const val ENGINES_PER_REGION = 4
+private const val WORKSPACES = 16
+private const val BATCH = 8
+private const val FIRST_TOKEN_MS = 100L
+private const val TOKEN_MS = 20L
+private const val REGION_DELAY_MS = 15L
+private const val LIST_LAG_MS = 3_000L
+private const val LARGE = 3
+private const val FIRST_REGION = 8
+private const val LARGE_CALLS = 4
+private const val SMALL_CALLS = 8
+private const val QUARTERS = 4
--- a/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/TestFleet.kt
+++ b/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/TestFleet.kt
@@ -83,7 +83,9 @@
         routers = plan.dataCentres.flatMap { dataCentre ->
             (1..dataCentre.routers).map { router("${dataCentre.id}-router-$it", dataCentre) }
         }
-        list.update { FleetList(instances(), endpoints()) }
+        val members = FleetList(instances(), endpoints())
+        routers.forEach { links.seenBy(it.id, members) }
+        list.update { members }
         plan.firstChanges.forEach { change(it) }
         routers.forEach { it.start() }
         await("all routers ready") { routers.all { isReady(it) } }
