Count both sides of exchanges and move slots only for differences past a band

Cause: control bytes counted only the client's side of an exchange; and slots moved for differences of one slot. Change: the surface counts what peers send it; a holder's due follows the division only past a band of an eighth; active reports every 200 ms, outcomes every 600 ms, the division every 40 ms.

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/CellAllocator.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/CellAllocator.kt
@@ -8,6 +8,7 @@
 import corneltrack.world.WorkspaceId
 
 private const val DEFAULT_QUANTUM = 100.0
+private const val DIVIDE_EVERY_MS = 40L
 private const val QUANTUM_REQUESTS = 4
 private const val LIMITS_EVERY_GRANTS = 16L
 private const val QUANTUM_LEARNING = 0.05
@@ -51,6 +52,7 @@
     private val capacity = CellCapacity(times, supporters, holders, book)
     private val service = VirtualService { terms(it).weight }
     private var sequence = 0L
+    private var dividedMs = Long.MIN_VALUE / 2
     private var quantum = DEFAULT_QUANTUM
     private var division = Division(emptyMap(), emptySet(), 0)
 
@@ -102,9 +104,11 @@
         holder.onReport(report, nowMs)
         val totals = report.workspaces.associate { it.workspace to it.served }
         service.chargeLocal(holder.origin, totals, complete = report.acknowledged == 0L)
-        report.outcomes.forEach { (id, outcomes) -> book.onOutcomes(id, outcomes, inFlight(id)) }
+        report.outcomes.forEach { (id, outcomes) -> book.onOutcomes(id, outcomes, inFlight(id) + outcomes.successes) }
         holders.expire(nowMs).forEach { service.forget(it) }
-        redivide(nowMs)
+        if (nowMs - dividedMs >= DIVIDE_EVERY_MS || holder.sequence == 0L) {
+            redivide(nowMs)
+        }
         return grant(holder, nowMs)
     }
 
@@ -124,16 +128,18 @@
     }
 
     private fun redivide(nowMs: Long) {
+        dividedMs = nowMs
         val demands = holders.all.flatMap { it.demands() }
         val backlogged = demands.filter { it.waiting > 0 }.mapTo(HashSet()) { it.workspace }
         service.advance(backlogged)
         val slots = capacity.usable(nowMs)
         division = divide(slots, demands, service::of, terms, quantum * QUANTUM_REQUESTS)
+        holders.all.forEach { it.onDivision(division.targets[it.id] ?: 0) }
     }
 
     private fun grant(holder: Holder, nowMs: Long): CellGrant {
         val lease = capacity.leaseMs(nowMs)
-        val target = if (lease > 0) capacity.target(holder, division, nowMs) else 0
+        val target = if (lease > 0) capacity.target(holder, division.spare, nowMs) else 0
         val slots = capacity.choose(holder, target, nowMs)
         sequence++
         holder.onGrant(slots, sequence, nowMs + lease)
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/CellCapacity.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/CellCapacity.kt
@@ -26,15 +26,14 @@
      * Beyond its due a router of the home group also gets what others do not claim at the moment, so that no slot idles
      * until a slow link lets its next user know of it.
      */
-    fun target(holder: Holder, division: Division, nowMs: Long): Int {
-        val due = division.targets[holder.id] ?: 0
+    fun target(holder: Holder, spare: Int, nowMs: Long): Int {
         if (!holder.local) {
-            return due
+            return holder.due
         }
         val claimed = holders.all.filter { it !== holder && nowMs - it.lastReportMs < CLAIM_MS }
-            .sumOf { max(0, (division.targets[it.id] ?: 0) - it.held) }
+            .sumOf { max(0, it.due - it.held) }
         val reachable = free(nowMs) + holder.held - claimed
-        return max(due + ahead(holder, division.spare), min(reachable, holder.demand))
+        return max(holder.due + ahead(holder, spare), min(reachable, holder.demand))
     }
 
     private fun free(nowMs: Long): Int =
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/EndpointLimit.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/EndpointLimit.kt
@@ -60,8 +60,8 @@
      * Takes in one ended request.
      *
      * @param firstByteMs the time to the first byte of the answer, in ms; counts only for [EndpointOutcome.SUCCESS].
-     * @param inFlight the requests that the endpoint ran at about that time; only a full endpoint shows that it bears
-     * its limit.
+     * @param inFlight the requests that the endpoint ran lately, including those that just ended; only a full endpoint
+     * shows that it bears its limit.
      */
     public fun onOutcome(outcome: EndpointOutcome, firstByteMs: Long, inFlight: Int) {
         when (outcome) {
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/Holders.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/Holders.kt
@@ -3,6 +3,10 @@
 import corneltrack.world.EndpointId
 import corneltrack.world.InstanceId
 import corneltrack.world.WorkspaceId
+import kotlin.math.abs
+import kotlin.math.max
+
+private const val BAND_DIVISOR = 8
 
 /** What an allocator knows of one router that holds or wants slots of its cell. Not thread-safe. */
 internal class Holder(val id: InstanceId, val incarnation: String) {
@@ -22,6 +26,22 @@
     var granted: Map<EndpointId, Int> = emptyMap()
     var committed: Map<EndpointId, Int> = emptyMap()
 
+    /** The slots due at present, with small changes left out. */
+    var due = 0
+        private set
+
+    /**
+     * Takes in what the latest division makes due.
+     *
+     * A difference within the band changes nothing, since each slot that moves idles until both routers have reported.
+     */
+    fun onDivision(target: Int) {
+        val lent = granted.values.sum()
+        val band = max(1, lent / BAND_DIVISOR)
+        val keeps = lent > 0 && target > 0 && abs(target - lent) <= band && lent <= demand
+        due = if (keeps) lent else target
+    }
+
     /** Takes in a report. Slots recalled by an acknowledged grant are committed only as far as they still run. */
     fun onReport(report: CellReport, nowMs: Long) {
         lastReportMs = nowMs
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/AllocatorUpkeep.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/AllocatorUpkeep.kt
@@ -9,7 +9,7 @@
 import java.util.concurrent.Executor
 
 private const val POLL_MS = 500L
-private const val SUMMARY_MS = 3_000L
+private const val SUMMARY_MS = 4_000L
 
 /**
  * Keeps the allocators of this router supplied: asks endpoints for their load and tells other cells what was served.
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/CellReports.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/CellReports.kt
@@ -8,16 +8,28 @@
 import corneltrack.world.EndpointId
 import corneltrack.world.WorkspaceId
 
+private const val OUTCOMES_PERIOD_MS = 600L
+
 /** What this router remembers of its exchanges about one cell. */
 internal class CellMemory {
     var acknowledged = 0L
     var limits: Map<EndpointId, Int> = emptyMap()
     var servedSent: Map<WorkspaceId, Long> = emptyMap()
     var waitingSent = false
+    private var outcomesMs = Long.MIN_VALUE / 2
 
     /** Whether more slots are due than could be lent so far. */
     var unmet = false
 
+    /** Returns whether the next report should tell how requests ended; that need not be in every one. */
+    fun outcomesDue(nowMs: Long): Boolean {
+        val due = nowMs - outcomesMs >= OUTCOMES_PERIOD_MS
+        if (due) {
+            outcomesMs = nowMs
+        }
+        return due
+    }
+
     /** Takes in a grant. Returns false where a new term of the allocator has begun, which must first be told all. */
     fun accept(grant: CellGrant): Boolean {
         val current = grant.sequence > acknowledged
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/ControlSurface.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/ControlSurface.kt
@@ -9,6 +9,7 @@
 import corneltrack.wire.errorResponse
 import corneltrack.wire.jsonResponse
 import corneltrack.wire.wireJson
+import corneltrack.world.InstanceId
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.QueryStringDecoder
@@ -29,6 +30,9 @@
     fun status(): RouterStatus
 
     fun metrics(): String
+
+    /** Counts the bodies of an exchange that [peer] began. */
+    fun onPeerTraffic(peer: InstanceId, sent: Int, received: Int)
 }
 
 /** Answers peers and operators. Whatever touches allocators runs on [control]. */
@@ -64,7 +68,11 @@
     private fun post(request: ControlRequest): CompletableFuture<ControlResponse> = when (request.path) {
         EXCHANGE_PATH -> {
             val report = wireJson.decodeFromString<ExchangeRequest>(request.body)
-            onControl { jsonResponse(duty.exchange(report)).join() }
+            onControl {
+                val response = jsonResponse(duty.exchange(report)).join()
+                source.onPeerTraffic(report.from, response.body.length, request.body.length)
+                response
+            }
         }
         SUMMARY_PATH -> {
             val summaries = wireJson.decodeFromString<List<ServiceSummary>>(request.body)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/Exchanger.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/Exchanger.kt
@@ -11,9 +11,9 @@
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.ScheduledExecutorService
 
-private const val ACTIVE_PERIOD_MS = 100L
+private const val ACTIVE_PERIOD_MS = 200L
 private const val IDLE_PERIOD_MS = 500L
-private const val REMOTE_PERIOD_MS = 2_000L
+private const val REMOTE_PERIOD_MS = 2_500L
 private const val UNMET_PERIOD_MS = 400L
 private const val URGENT_PERIOD_MS = 20L
 private const val FAILURES_TO_AVOID = 2
@@ -103,7 +103,7 @@
                 val memory = link.cells.getOrPut(plan.cell) { CellMemory() }
                 val scheduler = parts.runner.scheduler(plan.cell.pool)
                 val endpoints = view.endpointsByCell[plan.cell].orEmpty().mapTo(HashSet()) { it.id }
-                val outcomes = parts.runner.outcomes.take(endpoints)
+                val outcomes = if (memory.outcomesDue(nowMs)) parts.runner.outcomes.take(endpoints) else emptyMap()
                 val served = scheduler.meter.served(plan.cell)
                 val sources =
                     ReportSources(scheduler.snapshot(nowMs), served, endpoints, outcomes, scheduler.meanCost())
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/Router.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/Router.kt
@@ -14,6 +14,7 @@
 import corneltrack.wire.wireJson
 import corneltrack.world.DataCentreId
 import corneltrack.world.Instance
+import corneltrack.world.InstanceId
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
@@ -30,6 +31,8 @@
 private const val TICK_MS = 25L
 private const val EXPIRE_EVERY_TICKS = 4
 private const val ISOLATION_MS = 6_000L
+private const val REQUEST_HEAD_BYTES = 140L
+private const val ANSWER_HEAD_BYTES = 80L
 private const val DRAIN_POLL_MS = 50L
 private const val HANDOVER_MS = 1_500L
 private const val INCARNATION_LENGTH = 12
@@ -191,6 +194,11 @@
             quarantined = crashes.quarantined(),
         )
 
+        override fun onPeerTraffic(peer: InstanceId, sent: Int, received: Int) {
+            val from = views.current.instances[peer]?.dataCentre ?: settings.dataCentre
+            metrics.onControlTraffic(from, sent.toLong() + ANSWER_HEAD_BYTES, received.toLong() + REQUEST_HEAD_BYTES)
+        }
+
         override fun metrics(): String = metrics.text(runner.openRequests, views.current.configuration.offset)
     }
 }
