--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/CellAllocator.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/CellAllocator.kt
@@ -49,7 +49,9 @@
     private val supporters = Supporters(times)
     private val holders = Holders(times)
     private val book = EndpointBook()
-    private val capacity = CellCapacity(times, supporters, holders, book)
+    private val borrowed = BorrowedSlots()
+    private val loanSequences = HashMap<Cell, Long>()
+    private val capacity = CellCapacity(times, supporters, holders, book, borrowed)
     private val service = VirtualService { terms(it).weight }
     private var sequence = 0L
     private var dividedMs = Long.MIN_VALUE / 2
@@ -72,13 +74,31 @@
         book.onOutcomes(id, OutcomeReport(broken = 1), inFlight = 0)
     }
 
-    /** Takes in the service counted in another cell of the pool. */
-    public fun onSummary(summary: ServiceSummary) {
-        service.chargeRemote(summary)
+    /**
+     * Builds the report that asks the allocator of [lender], another cell of the pool, for slots.
+     *
+     * It tells of what waits too long here and of what this cell has served.
+     *
+     * @param endpoints the endpoints of [lender].
+     * @param overdueMs how long a request waits before slots of other cells are asked for, in ms.
+     */
+    public fun borrowReport(lender: Cell, endpoints: Set<EndpointId>, overdueMs: Long): CellReport {
+        val held = endpoints.associateWith { holders.committed(it) }.filterValues { it > 0 }
+        return CellReport(
+            cell = lender,
+            borrower = cell,
+            acknowledged = loanSequences[lender] ?: 0,
+            running = held,
+            workspaces = holders.overdue(overdueMs, held.values.sum(), service.counted()),
+            outcomes = borrowed.takeOutcomes(endpoints),
+        )
     }
 
-    /** Returns the service counted in this cell by workspace. */
-    public fun served(): Map<WorkspaceId, Long> = service.counted()
+    /** Takes in what the allocator of [CellGrant.cell] has lent to this cell, in answer to a report sent at [sentMs]. */
+    public fun onLoan(grant: CellGrant, sentMs: Long) {
+        loanSequences[grant.cell] = grant.sequence
+        borrowed.onLoan(grant.cell, grant.slots, sentMs + grant.leaseMs)
+    }
 
     /**
      * Takes in the report of a router and lends it slots.
@@ -103,8 +123,16 @@
         val holder = holders.of(from, incarnation)
         holder.onReport(report, nowMs)
         val totals = report.workspaces.associate { it.workspace to it.served }
-        service.chargeLocal(holder.origin, totals, complete = report.acknowledged == 0L)
-        report.outcomes.forEach { (id, outcomes) -> book.onOutcomes(id, outcomes, inFlight(id) + outcomes.successes) }
+        if (report.borrower == null) {
+            service.chargeLocal(holder.origin, totals, complete = report.acknowledged == 0L)
+        } else {
+            service.chargeRemote(holder.origin, totals)
+        }
+        report.outcomes.forEach { (id, outcomes) ->
+            if (!book.onOutcomes(id, outcomes, inFlight(id) + outcomes.successes)) {
+                borrowed.onOutcomes(id, outcomes)
+            }
+        }
         holders.expire(nowMs).forEach { service.forget(it) }
         if (nowMs - dividedMs >= DIVIDE_EVERY_MS || holder.sequence == 0L) {
             redivide(nowMs)
@@ -133,12 +161,13 @@
         val backlogged = demands.filter { it.waiting > 0 }.mapTo(HashSet()) { it.workspace }
         service.advance(backlogged)
         val slots = capacity.usable(nowMs)
-        division = divide(slots, demands, service::of, terms, quantum * QUANTUM_REQUESTS)
+        val step = quantum * QUANTUM_REQUESTS
+        division = divide(slots, demands, { service.of(it) / step }, terms, holders.elsewhere())
         holders.all.forEach { it.onDivision(division.targets[it.id] ?: 0) }
     }
 
     private fun grant(holder: Holder, nowMs: Long): CellGrant {
-        val lease = capacity.leaseMs(nowMs)
+        val lease = capacity.leaseMs(holder, nowMs)
         val target = if (lease > 0) capacity.target(holder, division.spare, nowMs) else 0
         val slots = capacity.choose(holder, target, nowMs)
         sequence++
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/CellCapacity.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/CellCapacity.kt
@@ -5,7 +5,7 @@
 import kotlin.math.min
 
 private const val AHEAD_SLOTS = 2
-private const val CLAIM_MS = 600L
+private const val CLAIM_MS = 2_500L
 
 /** Derives, from what is known of one cell, which slots may be lent to a router. Not thread-safe. */
 internal class CellCapacity(
@@ -13,12 +13,17 @@
     private val supporters: Supporters,
     private val holders: Holders,
     private val book: EndpointBook,
+    private val borrowed: BorrowedSlots,
 ) {
-    /** Returns the slots of the whole cell that the present support allows. */
-    fun usable(nowMs: Long): Int = book.ids.sumOf { usable(it, nowMs) }
+    /** Returns the slots, own and borrowed, that the present support allows. */
+    fun usable(nowMs: Long): Int = ids(nowMs).sumOf { usable(it, nowMs) }
 
-    /** Returns how long a lease may last: never longer than the support that it rests on. */
-    fun leaseMs(nowMs: Long): Long = min(times.leaseMs, supporters.firstLapse(nowMs) - nowMs)
+    /** Returns how long a lease to [holder] may last: never longer than the support and the loans that it rests on. */
+    fun leaseMs(holder: Holder, nowMs: Long): Long {
+        val own = min(times.leaseMs, supporters.firstLapse(nowMs) - nowMs)
+        val loans = borrowed.remainingMs(nowMs).takeIf { holder.local }
+        return min(own, loans ?: own)
+    }
 
     /**
      * Returns how many slots [holder] should have.
@@ -37,7 +42,7 @@
     }
 
     private fun free(nowMs: Long): Int =
-        book.ids.sumOf { max(0, usable(it, nowMs) - holders.committed(it) - lost(it, nowMs)) }
+        ids(nowMs).sumOf { max(0, usable(it, nowMs) - holders.committed(it) - lost(it, nowMs)) }
 
     /** Returns how many [spare] slots to lend [holder] ahead of need, so that a request can start at once. */
     private fun ahead(holder: Holder, spare: Int): Int {
@@ -47,7 +52,8 @@
 
     /** Picks [target] slots for [holder]: first what it runs, then what it has, then the least loaded endpoints. */
     fun choose(holder: Holder, target: Int, nowMs: Long): Map<EndpointId, Int> {
-        val available = book.ids.associateWith { usable(it, nowMs) - holders.committed(it, holder) - lost(it, nowMs) }
+        val among = if (holder.local) ids(nowMs) else book.ids
+        val available = among.associateWith { usable(it, nowMs) - holders.committed(it, holder) - lost(it, nowMs) }
         val choice = SlotChoice(available, target)
         choice.take(holder.running)
         choice.take(holder.granted)
@@ -55,7 +61,12 @@
         return choice.taken()
     }
 
+    private fun ids(nowMs: Long): Set<EndpointId> = book.ids + borrowed.endpoints(nowMs)
+
     private fun usable(id: EndpointId, nowMs: Long): Int =
+        if (id in book.ids) own(id, nowMs) else borrowed.usable(id, nowMs)
+
+    private fun own(id: EndpointId, nowMs: Long): Int =
         supportedSlots(book.limit(id), supporters.supporting(nowMs).size, supporters.listed(nowMs))
 
     private fun lost(id: EndpointId, nowMs: Long): Int =
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/CompactSerializers.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/CompactSerializers.kt
@@ -12,19 +12,20 @@
 import kotlinx.serialization.encoding.Decoder
 import kotlinx.serialization.encoding.Encoder
 
-private const val REPORT_FIELDS = 5
+private const val REPORT_FIELDS = 6
 private const val SERVED_FIELD = 2
 private const val WAIT_FIELD = 3
-private const val NAME_FIELD = 4
+private const val ELSEWHERE_FIELD = 4
+private const val NAME_FIELD = 5
 
-/** Writes a [WorkspaceReport] as `waiting,running,served,oldestWaitMs,workspace`, since reports are sent often. */
+/** Writes a [WorkspaceReport] as `waiting,running,served,oldestWaitMs,elsewhere,workspace`, since reports are sent often. */
 internal object WorkspaceReportSerializer : KSerializer<WorkspaceReport> {
     override val descriptor: SerialDescriptor =
         PrimitiveSerialDescriptor("corneltrack.policy.WorkspaceReport", PrimitiveKind.STRING)
 
     override fun serialize(encoder: Encoder, value: WorkspaceReport) {
         encoder.encodeString(
-            "${value.waiting},${value.running},${value.served},${value.oldestWaitMs},${value.workspace}",
+            with(value) { "$waiting,$running,$served,$oldestWaitMs,$elsewhere,$workspace" },
         )
     }
 
@@ -33,7 +34,7 @@
         val fields = text.split(',', limit = REPORT_FIELDS)
         val numbers = fields.take(NAME_FIELD).mapNotNull { it.toLongOrNull() }
         if (fields.size != REPORT_FIELDS || numbers.size != NAME_FIELD) {
-            throw SerializationException("expected waiting,running,served,oldestWaitMs,workspace, found '$text'")
+            throw SerializationException("expected waiting,running,served,oldestWaitMs,elsewhere,workspace, found '$text'")
         }
         return WorkspaceReport(
             WorkspaceId(fields[NAME_FIELD]),
@@ -41,6 +42,7 @@
             numbers[1].toInt(),
             numbers[SERVED_FIELD],
             numbers[WAIT_FIELD],
+            numbers[ELSEWHERE_FIELD].toInt(),
         )
     }
 }
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/EndpointBook.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/EndpointBook.kt
@@ -35,12 +35,14 @@
         }
     }
 
-    fun onOutcomes(id: EndpointId, outcomes: OutcomeReport, inFlight: Int) {
-        val limit = entries[id]?.limit ?: return
+    /** Takes in how requests ended. Returns false where [id] is no endpoint of the cell. */
+    fun onOutcomes(id: EndpointId, outcomes: OutcomeReport, inFlight: Int): Boolean {
+        val limit = entries[id]?.limit ?: return false
         val meanMs = outcomes.firstByteMs / outcomes.successes.coerceAtLeast(1)
         repeat(outcomes.successes) { limit.onOutcome(EndpointOutcome.SUCCESS, meanMs, inFlight) }
         if (outcomes.refused > 0) limit.onOutcome(EndpointOutcome.REFUSED, 0, inFlight)
         if (outcomes.broken > 0) limit.onOutcome(EndpointOutcome.BROKEN, 0, inFlight)
+        return true
     }
 
     /** Takes in what an endpoint reported, of which [accounted] requests belong to known routers. */
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/Exchange.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/Exchange.kt
@@ -14,6 +14,7 @@
  * @property running the requests that hold a slot of the cell.
  * @property served the cost served in the cell since the router's incarnation began.
  * @property oldestWaitMs how long the oldest of [waiting] has waited, in ms.
+ * @property elsewhere in a borrower's report, the requests that hold slots of other cells than the lender's.
  */
 @Serializable(with = WorkspaceReportSerializer::class)
 public data class WorkspaceReport(
@@ -22,6 +23,7 @@
     val running: Int = 0,
     val served: Long = 0,
     val oldestWaitMs: Long = 0,
+    val elsewhere: Int = 0,
 )
 
 /** Counts how requests at one endpoint ended since the last acknowledged report. */
@@ -31,7 +33,15 @@
     @SerialName("r") val refused: Int = 0,
     @SerialName("b") val broken: Int = 0,
     @SerialName("f") val firstByteMs: Long = 0,
-)
+) {
+    /** Returns the counts of both reports together. */
+    public operator fun plus(other: OutcomeReport): OutcomeReport = OutcomeReport(
+        successes + other.successes,
+        refused + other.refused,
+        broken + other.broken,
+        firstByteMs + other.firstByteMs,
+    )
+}
 
 /**
  * States what one router holds and wants in one cell.
@@ -41,6 +51,7 @@
  * @property running the requests in flight by endpoint.
  * @property virtual the sender's last known virtual service by workspace, sent until a first grant is acknowledged.
  * @property limits the sender's last known endpoint limits, sent until a first grant is acknowledged.
+ * @property borrower the cell for whose routers the sender, its allocator, borrows; null for a router's own report.
  * @property meanCost the mean cost of the requests that ended lately at the sender, or 0 where none did.
  */
 @Serializable
@@ -54,6 +65,7 @@
     @SerialName("v") val virtual: Map<WorkspaceId, Long> = emptyMap(),
     @SerialName("l") val limits: Map<EndpointId, Int> = emptyMap(),
     @SerialName("m") val meanCost: Long = 0,
+    @SerialName("b") @Serializable(with = CellSerializer::class) val borrower: Cell? = null,
 )
 
 /**
@@ -65,7 +77,7 @@
  * @property virtual the virtual service by workspace, for the workspaces that the router reported.
  * @property deferred the workspaces at their cap while others wait.
  * @property limits the limit of each endpoint of the cell over all routers; empty in most grants.
- * @property unmet whether more slots are due to the router as soon as others hand them back.
+ * @property unmet whether more slots are due as soon as others hand them back.
  */
 @Serializable
 public data class CellGrant(
@@ -110,16 +122,3 @@
     @SerialName("x") val releaseMs: Long? = null,
     @SerialName("c") val grants: List<CellGrant> = emptyList(),
 )
-
-/**
- * Carries the service that one cell's allocator has counted, to the allocators of the same pool elsewhere.
- *
- * @property term names the allocator's term; totals of different terms are independent.
- * @property served the cost served in the cell by workspace since the term began.
- */
-@Serializable
-public data class ServiceSummary(
-    @Serializable(with = CellSerializer::class) val cell: Cell,
-    val term: String,
-    val served: Map<WorkspaceId, Long>,
-)
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/FairDivision.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/FairDivision.kt
@@ -7,7 +7,7 @@
 import kotlin.math.floor
 import kotlin.math.max
 
-private const val REMOTE_PENALTY = 2.0
+private const val REMOTE_HANDICAP = 1.0
 private const val OVERDUE_WAIT_MS = 2_000L
 
 /**
@@ -44,21 +44,21 @@
  * Divides [slots] among [demands] by weighted max-min fairness, corrected by the service received so far.
  *
  * Slots go one at a time to the workspace whose virtual service is lowest, counting each slot already assigned as
- * [quantum] of cost. A workspace at its cap is passed over while another one can use the slot; afterwards unused slots
+ * one unit of virtual service. A workspace at its cap is passed over while another one can use the slot; afterwards unused slots
  * are lent to it all the same.
  *
- * @param virtual the virtual service of a workspace.
+ * @param virtual the virtual service of a workspace, in units of what one slot serves until slots should have moved.
  * @param terms the agreement's terms of a workspace.
- * @param quantum the cost that one slot serves in about one request, in units of the pool.
+ * @param elsewhere the slots that each workspace holds in other cells; they count towards its share, not its cap.
  */
 public fun divide(
     slots: Int,
     demands: List<Demand>,
     virtual: (WorkspaceId) -> Double,
     terms: (WorkspaceId) -> Terms,
-    quantum: Double,
+    elsewhere: Map<WorkspaceId, Int> = emptyMap(),
 ): Division {
-    val filling = Filling(slots, virtual, terms, quantum)
+    val filling = Filling(slots, virtual, terms, elsewhere)
     demands.filter { it.total > 0 }
         .groupBy { it.workspace to it.local }
         .forEach { (key, group) -> filling.add(key.first, key.second, group) }
@@ -81,7 +81,7 @@
     private val slots: Int,
     private val virtual: (WorkspaceId) -> Double,
     private val terms: (WorkspaceId) -> Terms,
-    private val quantum: Double,
+    private val elsewhere: Map<WorkspaceId, Int>,
 ) {
     val shares = mutableListOf<Share>()
     val deferred = HashSet<WorkspaceId>()
@@ -120,8 +120,9 @@
     }
 
     private fun key(share: Share): Double {
-        val handicap = if (share.local) 0.0 else REMOTE_PENALTY * quantum
-        return virtual(share.workspace) + handicap + heldBy(share) * quantum / terms(share.workspace).weight
+        val handicap = if (share.local) 0.0 else REMOTE_HANDICAP
+        val all = heldBy(share) + (elsewhere[share.workspace] ?: 0)
+        return virtual(share.workspace) + handicap + all / terms(share.workspace).weight
     }
 
     private fun heldBy(share: Share): Int = held[share.workspace] ?: 0
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/Holders.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/Holders.kt
@@ -5,8 +5,10 @@
 import corneltrack.world.WorkspaceId
 import kotlin.math.abs
 import kotlin.math.max
+import kotlin.math.min
 
 private const val BAND_DIVISOR = 8
+private const val WAITING_LIMIT = 256
 
 /** What an allocator knows of one router that holds or wants slots of its cell. Not thread-safe. */
 internal class Holder(val id: InstanceId, val incarnation: String) {
@@ -94,6 +96,38 @@
     fun committed(endpoint: EndpointId, except: Holder? = null): Int =
         (byId.values + former).filter { it !== except }.sumOf { it.committed[endpoint] ?: 0 }
 
+    /**
+     * Returns what waits at this cell's own routers for [overdueMs] or longer, with the cost [served] here.
+     *
+     * @param held the slots of the lender in use, which are shared out by what waits.
+     */
+    fun overdue(overdueMs: Long, held: Int, served: Map<WorkspaceId, Long>): List<WorkspaceReport> {
+        val own = byId.values.filter { it.local }.flatMap { it.workspaces.values }.groupBy { it.workspace }
+        val waiting = own.mapValues { (_, reports) ->
+            reports.filter { it.oldestWaitMs >= overdueMs }.sumOf { it.waiting }
+        }
+        val total = max(1, waiting.values.sum())
+        return (own.keys + served.keys).map { workspace ->
+            val count = waiting[workspace] ?: 0
+            val running = own[workspace].orEmpty().sumOf { it.running }
+            val there = min(running, held * count / total)
+            WorkspaceReport(
+                workspace = workspace,
+                waiting = min(count, WAITING_LIMIT),
+                running = there,
+                served = served[workspace] ?: 0,
+                elsewhere = running - there,
+            )
+        }
+    }
+
+    /** Returns the requests of each workspace that hold slots of other cells. */
+    fun elsewhere(): Map<WorkspaceId, Int> =
+        byId.values.filterNot { it.local }
+            .flatMap { it.workspaces.values }
+            .groupBy { it.workspace }
+            .mapValues { (_, reports) -> reports.sumOf { it.elsewhere } }
+
     /** Returns the requests known to run on [endpoint] at routers whose lease is alive. */
     fun running(endpoint: EndpointId, nowMs: Long): Int =
         byId.values.filter { it.leaseUntilMs > nowMs }.sumOf { it.running[endpoint] ?: 0 }
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/SlotTable.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/SlotTable.kt
@@ -7,14 +7,13 @@
 /**
  * Lends slots of one cell to this router until [untilMs] of its own clock.
  *
- * @property home whether the cell belongs to this router's home group.
+ * The slots may be on endpoints of other cells, borrowed by the allocator.
  */
 public data class Lease(
     val cell: Cell,
     val allocator: InstanceId,
     val slots: Map<EndpointId, Int>,
     val untilMs: Long,
-    val home: Boolean,
 )
 
 /** Counts, at a router, the slots lent and in use for one pool. Not thread-safe; owned by the pool's scheduler. */
@@ -27,16 +26,16 @@
         leases[lease.cell] = lease
     }
 
-    /** Returns the requests in flight by endpoint. */
-    public fun running(): Map<EndpointId, Int> = running.filterValues { it > 0 }
-
     /** Returns the endpoints with a free slot whose lease is alive at [nowMs], with the number of free slots. */
-    public fun free(nowMs: Long, home: Boolean): Map<EndpointId, Int> =
-        leases.values.filter { it.home == home && it.untilMs > nowMs }
+    public fun free(nowMs: Long): Map<EndpointId, Int> =
+        leases.values.filter { it.untilMs > nowMs }
             .flatMap { lease -> lease.slots.map { (id, lent) -> id to lent - (running[id] ?: 0) } }
             .filter { it.second > 0 }
             .toMap()
 
+    /** Returns the cell whose allocator has lent slots of [endpoint]. */
+    public fun lender(endpoint: EndpointId): Cell? = leases.values.firstOrNull { endpoint in it.slots }?.cell
+
     /** Takes a slot of [endpoint]. The caller has seen it free at the same moment. */
     public fun acquire(endpoint: EndpointId) {
         running.merge(endpoint, 1, Int::plus)
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/VirtualService.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/VirtualService.kt
@@ -5,8 +5,8 @@
 /**
  * Counts, per workspace, the cost served divided by weight, as the order in which workspaces are due.
  *
- * Totals come from many origins as cumulative sums, so that a repeated or reordered message changes nothing. A
- * workspace that does not wait is raised to the least served one that does: idle time earns no credit. Not thread-safe.
+ * Totals come from many origins as cumulative sums, so that a repeated message changes nothing. They include the
+ * estimated cost of running requests, and fall where an estimate proves too high. A workspace that does not wait is raised to the least served one that does: idle time earns no credit. Not thread-safe.
  *
  * @param weightOf the weight of a workspace under the agreement.
  */
@@ -38,9 +38,9 @@
         charge(origin, totals).forEach { (workspace, added) -> counted.merge(workspace, added, Long::plus) }
     }
 
-    /** Adds what another cell has served beyond its last known totals. */
-    public fun chargeRemote(summary: ServiceSummary) {
-        charge("${summary.cell}/${summary.term}", summary.served)
+    /** Adds what another cell, named by [origin], has served beyond its last known [totals]. */
+    public fun chargeRemote(origin: String, totals: Map<WorkspaceId, Long>) {
+        charge(origin, totals)
     }
 
     /** Forgets an origin that is gone. */
@@ -64,7 +64,7 @@
         val added = HashMap<WorkspaceId, Long>()
         totals.forEach { (workspace, total) ->
             val before = known[workspace] ?: 0L
-            if (total > before) {
+            if (total != before) {
                 known[workspace] = total
                 added[workspace] = total - before
                 virtual.merge(workspace, (total - before) / weightOf(workspace), Double::plus)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/AllocatorDuty.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/AllocatorDuty.kt
@@ -9,10 +9,10 @@
 import corneltrack.policy.ExchangeRequest
 import corneltrack.policy.ExchangeResponse
 import corneltrack.policy.LeaseTimes
-import corneltrack.policy.ServiceSummary
 import corneltrack.wire.event
 import corneltrack.world.Cell
 import corneltrack.world.Endpoint
+import corneltrack.world.InstanceId
 import org.apache.logging.log4j.LogManager
 
 private const val UNUSED_MS = 30_000L
@@ -30,7 +30,7 @@
     private val times: LeaseTimes,
     private val clock: Clock,
 ) {
-    private class Duty(val allocator: CellAllocator, val term: String, var usedMs: Long)
+    private class Duty(val allocator: CellAllocator, var usedMs: Long)
 
     private val duties = HashMap<Cell, Duty>()
     private var releaseAtMs: Long? = null
@@ -63,15 +63,16 @@
         duties[endpoint.cell]?.allocator?.onEndpointDown(endpoint.id)
     }
 
-    /** Takes in the service counted in another cell, for the cells of the same pool. */
-    fun onSummary(summary: ServiceSummary) {
-        duties.filterKeys { it.pool == summary.cell.pool && it != summary.cell }
-            .values.forEach { it.allocator.onSummary(summary) }
+    /** Builds a report that asks the allocator of [lender] for slots on behalf of [borrower]. */
+    fun borrowReport(borrower: Cell, lender: Cell): CellReport? {
+        val endpoints = views.current.endpointsByCell[lender].orEmpty().mapTo(HashSet()) { it.id }
+        return duties[borrower]?.allocator?.borrowReport(lender, endpoints, settings.limits.spillAfterMs)
     }
 
-    /** Returns what this router's cells have served. */
-    fun summaries(): List<ServiceSummary> =
-        duties.map { (cell, duty) -> ServiceSummary(cell, duty.term, duty.allocator.served()) }
+    /** Takes in what was lent to [borrower]. */
+    fun onLoan(borrower: Cell, grant: CellGrant, sentMs: Long) {
+        duties[borrower]?.allocator?.onLoan(grant, sentMs)
+    }
 
     /** Returns the state of each cell that this router allocates. */
     fun status(): List<AllocatorStatus> = duties.values.map { it.allocator.status(clock()) }
@@ -96,14 +97,15 @@
         val duty = duties.getOrPut(report.cell) { begin(report.cell, nowMs) }
         duty.usedMs = nowMs
         duty.allocator.onView(view, nowMs)
-        val grant = duty.allocator.exchange(request.from, request.incarnation, tokenMs, report, nowMs)
+        val holder = report.borrower?.let { InstanceId("${request.from}/$it") } ?: request.from
+        val grant = duty.allocator.exchange(holder, request.incarnation, tokenMs, report, nowMs)
         return releaseAtMs?.let { grant.copy(leaseMs = grant.leaseMs.coerceAtMost(it - nowMs)) } ?: grant
     }
 
     private fun begin(cell: Cell, nowMs: Long): Duty {
         logger.event("allocator_began") { field("cell", cell) }
         val allocator = CellAllocator(cell, times) { views.current.configuration.agreement.termsFor(it) }
-        return Duty(allocator, "$incarnation/$nowMs", nowMs)
+        return Duty(allocator, nowMs)
     }
 }
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/CellReports.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/CellReports.kt
@@ -18,9 +18,6 @@
     var waitingSent = false
     private var outcomesMs = Long.MIN_VALUE / 2
 
-    /** Whether more slots are due than could be lent so far. */
-    var unmet = false
-
     /** Returns whether the next report should tell how requests ended; that need not be in every one. */
     fun outcomesDue(nowMs: Long): Boolean {
         val due = nowMs - outcomesMs >= OUTCOMES_PERIOD_MS
@@ -36,7 +33,6 @@
         if (current) {
             acknowledged = grant.sequence
             limits = grant.limits.ifEmpty { limits }
-            unmet = grant.unmet
         } else {
             restart()
         }
@@ -53,19 +49,18 @@
 /**
  * Builds the report on [cell].
  *
- * @param supports whether the report carries support; only then all waiting requests count, otherwise only overdue
- * ones.
+ * @param supports whether the report carries support.
  */
 internal fun cellReport(
     cell: Cell,
     supports: Boolean,
-    home: Boolean,
     memory: CellMemory,
     sources: ReportSources,
 ): CellReport {
     val snapshot = sources.snapshot
-    val waiting = if (home) snapshot.waiting else snapshot.overdue
-    val running = snapshot.runningByCell[cell].orEmpty()
+    val waiting = snapshot.waiting
+    val held = snapshot.held[cell] ?: HeldSlots()
+    val running = held.workspaces
     val served = sources.served
     val changed = served.filter { (workspace, total) -> memory.servedSent[workspace] != total }.keys
     val workspaces = (waiting.keys + running.keys + changed).map { workspace ->
@@ -74,7 +69,7 @@
             waiting = waiting[workspace]?.count ?: 0,
             running = running[workspace] ?: 0,
             served = served[workspace] ?: 0,
-            oldestWaitMs = waiting[workspace]?.oldestMs?.takeIf { home } ?: 0,
+            oldestWaitMs = waiting[workspace]?.oldestMs ?: 0,
         )
     }
     val first = memory.acknowledged == 0L
@@ -83,7 +78,7 @@
         cell = cell,
         supports = supports,
         acknowledged = memory.acknowledged,
-        running = snapshot.running.filterKeys { it in sources.endpoints },
+        running = held.endpoints.toMap(),
         workspaces = workspaces,
         outcomes = sources.outcomes,
         virtual = if (first) snapshot.virtual else emptyMap(),
@@ -96,7 +91,6 @@
 internal class ReportSources(
     val snapshot: PoolSnapshot,
     val served: Map<WorkspaceId, Long>,
-    val endpoints: Set<EndpointId>,
     val outcomes: Map<EndpointId, OutcomeReport>,
     val meanCost: Long,
 )
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/ControlSurface.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/ControlSurface.kt
@@ -1,7 +1,6 @@
 package corneltrack.router
 
 import corneltrack.policy.ExchangeRequest
-import corneltrack.policy.ServiceSummary
 import corneltrack.policy.Suspicion
 import corneltrack.wire.ControlRequest
 import corneltrack.wire.ControlResponse
@@ -74,13 +73,6 @@
                 response
             }
         }
-        SUMMARY_PATH -> {
-            val summaries = wireJson.decodeFromString<List<ServiceSummary>>(request.body)
-            onControl {
-                summaries.forEach { duty.onSummary(it) }
-                ControlResponse(HttpResponseStatus.OK)
-            }
-        }
         SUSPICION_PATH -> {
             crashes.onShared(wireJson.decodeFromString<Suspicion>(request.body))
             jsonResponse(true)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/CostMeter.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/CostMeter.kt
@@ -1,6 +1,6 @@
 package corneltrack.router
 
-import corneltrack.world.Endpoint
+import corneltrack.world.Cell
 import corneltrack.world.PoolKind
 import io.netty.buffer.ByteBuf
 
@@ -9,23 +9,32 @@
 private val COMPLETION_TOKENS = Regex("\"completion_tokens\"\\s*:\\s*(\\d{1,9})")
 
 /**
- * Charges one attempt's cost as it becomes known.
+ * Charges one attempt's cost: an estimate at the start, more as soon as it proves too low, and the rest at the end.
  *
  * A streamed answer of a model costs one unit for each event; a whole one costs the completion tokens that it states.
  * A plain service costs one unit for each millisecond of its slot. Used on one event loop.
+ *
+ * @param lender the cell whose allocator lent the slot.
+ * @param estimate the expected cost, which is charged at once.
  */
 internal class CostMeter(
     private val request: RoutedRequest,
-    private val endpoint: Endpoint,
+    private val lender: Cell,
     private val meter: ServiceMeter,
+    estimate: Long,
 ) {
     private var charged = 0L
+    private var actual = 0L
     private var newLines = 0
     private var streamed = false
     private var tail = ByteArray(0)
 
-    /** The cost charged so far. */
-    val total: Long get() = charged
+    init {
+        charge(estimate)
+    }
+
+    /** The cost known so far. */
+    val total: Long get() = actual
 
     /** Charges the events that end within [data]. */
     fun onContent(data: ByteBuf) {
@@ -35,23 +44,25 @@
         val events = countEvents(data)
         if (events > 0) {
             streamed = true
-            charge(events.toLong())
+            actual += events
+            charge(maxOf(0, actual - charged))
         } else if (!streamed) {
             keepTail(data)
         }
     }
 
-    /** Charges what is known only at the end. */
+    /** Settles the cost when the attempt has ended, for whatever reason. */
     fun onEnd(elapsedMs: Long) {
         when {
-            request.pool.kind == PoolKind.SERVICE -> charge(maxOf(1, elapsedMs))
-            !streamed -> charge(statedTokens())
+            request.pool.kind == PoolKind.SERVICE -> actual = maxOf(1, elapsedMs)
+            !streamed -> actual = statedTokens()
         }
+        charge(actual - charged)
     }
 
     private fun charge(cost: Long) {
         charged += cost
-        meter.add(endpoint.cell, request.workspace, cost)
+        meter.add(lender, request.workspace, cost)
     }
 
     private fun countEvents(data: ByteBuf): Int {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/DispatchOrder.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/DispatchOrder.kt
@@ -1,23 +1,21 @@
 package corneltrack.router
 
-import corneltrack.policy.CostEstimator
 import corneltrack.world.WorkspaceId
 
 /**
  * Orders the workspaces of one pool at this router by the service they have had across the fleet.
  *
- * The allocator's virtual service is carried forward by what this router has served since. Not thread-safe; owned by
+ * The allocator's virtual service is carried forward by what this router has started and served
+ * since. Not thread-safe; owned by
  * the pool's scheduler.
  */
 internal class DispatchOrder(
     private val meter: ServiceMeter,
-    private val estimator: CostEstimator<WorkspaceId>,
     private val weightOf: (WorkspaceId) -> Double,
 ) {
     private class Base(val virtual: Double, val served: Long)
 
     private val bases = HashMap<WorkspaceId, Base>()
-    private val running = HashMap<WorkspaceId, Int>()
     private var deferred = emptySet<WorkspaceId>()
 
     /** Takes over the order of a home allocator. */
@@ -26,29 +24,16 @@
         deferred = held
     }
 
-    fun onStart(workspace: WorkspaceId) {
-        running.merge(workspace, 1, Int::plus)
-    }
-
-    fun onEnd(workspace: WorkspaceId) {
-        running.computeIfPresent(workspace) { _, count -> if (count > 1) count - 1 else null }
-    }
-
     /** Returns [workspaces] with the one that is due first at the head; those at their cap come last. */
     fun sorted(workspaces: Collection<WorkspaceId>): List<WorkspaceId> {
         val floor = bases.filterKeys { it in workspaces }.values.minOfOrNull { it.virtual } ?: 0.0
-        val keys = workspaces.associateWith { key(it, floor) }
+        val keys = workspaces.associateWith { workspace -> bases[workspace]?.let { carried(workspace, it) } ?: floor }
         return workspaces.sortedWith(compareBy({ it in deferred }, { keys.getValue(it) }, { it }))
     }
 
     /** Returns the last known virtual service, for an allocator that has none yet. */
     fun known(): Map<WorkspaceId, Long> = bases.mapValues { (workspace, base) -> carried(workspace, base).toLong() }
 
-    private fun key(workspace: WorkspaceId, floor: Double): Double {
-        val base = bases[workspace]?.let { carried(workspace, it) } ?: floor
-        return base + (running[workspace] ?: 0) * estimator.estimate(workspace) / weightOf(workspace)
-    }
-
     private fun carried(workspace: WorkspaceId, base: Base): Double =
         base.virtual + (meter.total(workspace) - base.served) / weightOf(workspace)
 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/ExchangePlanner.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/ExchangePlanner.kt
@@ -11,17 +11,12 @@
 private const val AVOID_MS = 5_000L
 
 /** Tells whose slots of [cell] this router asks for, and whether it supports that allocator. */
-internal class PlannedReport(
-    val cell: Cell,
-    val allocator: Instance,
-    val supports: Boolean,
-    val home: Boolean,
-)
+internal class PlannedReport(val cell: Cell, val allocator: Instance, val supports: Boolean)
 
 /**
  * Decides, cell by cell, which allocator this router turns to.
  *
- * In cells of its home group a router supports one allocator at a time. Not thread-safe.
+ * A router reports on the cells of its home group and supports one allocator in each at a time. Not thread-safe.
  *
  * @param self this router.
  * @param startMs when this incarnation began.
@@ -30,7 +25,6 @@
     private val self: InstanceId,
     private val times: LeaseTimes,
     private val startMs: Long,
-    private val wantsRemote: (Cell) -> Boolean,
 ) {
     private val supports = HashMap<Cell, Support>()
     private val avoidedUntil = HashMap<InstanceId, Long>()
@@ -63,22 +57,22 @@
     private fun plan(cell: Cell, view: RouterView, nowMs: Long): PlannedReport? {
         val group = view.home(cell)
         val desired = pick(cell, group, view, nowMs)
-        return when {
-            desired == null -> null
-            group.any { it.id == self } -> planHome(cell, desired, view, nowMs)
-            else -> PlannedReport(cell, desired, supports = false, home = false).takeIf { wantsRemote(cell) }
-        }
+        val home = group.any { it.id == self }
+        return if (home && desired != null) planHome(cell, desired, view, nowMs) else null
     }
 
     private fun planHome(cell: Cell, desired: Instance, view: RouterView, nowMs: Long): PlannedReport? {
         val support = supports.getOrPut(cell) { Support(times, startMs) }
         if (support.allows(desired.id, nowMs)) {
-            return PlannedReport(cell, desired, supports = true, home = true)
+            return PlannedReport(cell, desired, supports = true)
         }
         val former = support.current?.let { view.instances[it] }?.takeIf { !avoided(it.id, nowMs) }
-        return former?.let { PlannedReport(cell, it, supports = false, home = true) }
+        return former?.let { PlannedReport(cell, it, supports = false) }
     }
 
+    /** Returns the router that allocates [cell] as far as can be told from here. */
+    fun allocatorOf(cell: Cell, view: RouterView, nowMs: Long): Instance? = pick(cell, view.home(cell), view, nowMs)
+
     private fun pick(cell: Cell, group: List<Instance>, view: RouterView, nowMs: Long): Instance? {
         val live = group.filter { it.state == MemberState.LIVE }
         val inService = live.filter { !view.configuration.isOut(it) }.ifEmpty { live }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/Exchanger.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/Exchanger.kt
@@ -5,7 +5,9 @@
 import corneltrack.policy.ExchangeResponse
 import corneltrack.policy.Lease
 import corneltrack.policy.LeaseTimes
+import corneltrack.policy.OutcomeReport
 import corneltrack.world.Cell
+import corneltrack.world.EndpointId
 import corneltrack.world.Instance
 import corneltrack.world.InstanceId
 import java.util.concurrent.CompletableFuture
@@ -13,8 +15,6 @@
 
 private const val ACTIVE_PERIOD_MS = 200L
 private const val IDLE_PERIOD_MS = 500L
-private const val REMOTE_PERIOD_MS = 2_500L
-private const val UNMET_PERIOD_MS = 400L
 private const val URGENT_PERIOD_MS = 20L
 private const val FAILURES_TO_AVOID = 2
 
@@ -44,7 +44,8 @@
     private val onPeerAhead: (Instance) -> Unit,
 ) {
     private val links = HashMap<InstanceId, AllocatorLink>()
-    private val planner = ExchangePlanner(parts.settings.id, times, parts.clock(), ::wantsRemote)
+    /** Decides whom to report to. */
+    val planner = ExchangePlanner(parts.settings.id, times, parts.clock())
 
     /** Sends the reports that are due. */
     fun tick() {
@@ -54,14 +55,9 @@
             .forEach { (allocator, cells) -> sendIfDue(allocator, cells, nowMs) }
     }
 
-    private fun wantsRemote(cell: Cell): Boolean {
-        val activity = parts.runner.scheduler(cell.pool).activity(parts.clock())
-        return activity.overdue || cell in activity.runningIn
-    }
-
     private fun sendIfDue(allocator: Instance, cells: List<PlannedReport>, nowMs: Long) {
         val link = links.getOrPut(allocator.id) { AllocatorLink() }
-        if (link.open || nowMs - link.sentMs < period(link, cells, nowMs)) {
+        if (link.open || nowMs - link.sentMs < period(link, cells)) {
             return
         }
         link.open = true
@@ -76,19 +72,16 @@
         answer.whenCompleteAsync({ response, _ -> onAnswer(allocator, cells, request, response, nowMs) }, control)
     }
 
-    private fun period(link: AllocatorLink, cells: List<PlannedReport>, nowMs: Long): Long {
-        val home = cells.filter { it.home }
-        val activities = home.associateWith { parts.runner.scheduler(it.cell.pool).activity(nowMs) }
+    private fun period(link: AllocatorLink, cells: List<PlannedReport>): Long {
+        val activities = cells.associateWith { parts.runner.scheduler(it.cell.pool).activity() }
         val newlyWaiting = activities.any { (plan, activity) ->
             activity.waiting && link.cells[plan.cell]?.waitingSent != true
         }
+        val active = activities.any { (plan, activity) -> activity.waiting || plan.cell in activity.runningIn }
         return when {
             link.token == null || newlyWaiting -> URGENT_PERIOD_MS
-            activities.any { (plan, activity) -> activity.waiting || plan.cell in activity.runningIn } ->
-                ACTIVE_PERIOD_MS
-            home.isNotEmpty() -> IDLE_PERIOD_MS
-            link.cells.values.any { it.unmet } -> UNMET_PERIOD_MS
-            else -> REMOTE_PERIOD_MS
+            active -> ACTIVE_PERIOD_MS
+            else -> IDLE_PERIOD_MS
         }
     }
 
@@ -102,16 +95,19 @@
             cells = cells.map { plan ->
                 val memory = link.cells.getOrPut(plan.cell) { CellMemory() }
                 val scheduler = parts.runner.scheduler(plan.cell.pool)
-                val endpoints = view.endpointsByCell[plan.cell].orEmpty().mapTo(HashSet()) { it.id }
-                val outcomes = if (memory.outcomesDue(nowMs)) parts.runner.outcomes.take(endpoints) else emptyMap()
+                val outcomes = if (memory.outcomesDue(nowMs)) takeOutcomes(plan.cell) else emptyMap()
                 val served = scheduler.meter.served(plan.cell)
-                val sources =
-                    ReportSources(scheduler.snapshot(nowMs), served, endpoints, outcomes, scheduler.meanCost())
-                cellReport(plan.cell, plan.supports, plan.home, memory, sources)
+                val sources = ReportSources(scheduler.snapshot(nowMs), served, outcomes, scheduler.meanCost())
+                cellReport(plan.cell, plan.supports, memory, sources)
             },
         )
     }
 
+    private fun takeOutcomes(cell: Cell): Map<EndpointId, OutcomeReport> {
+        val endpoints = parts.views.current.fleet.endpoints.filter { it.pool == cell.pool }
+        return parts.runner.outcomes.take(endpoints.map { it.id })
+    }
+
     private fun onAnswer(
         allocator: Instance,
         cells: List<PlannedReport>,
@@ -155,12 +151,11 @@
     private fun onGrant(plan: PlannedReport, link: AllocatorLink, grant: CellGrant, sentMs: Long) {
         val memory = link.cells.getValue(grant.cell)
         val current = memory.accept(grant)
-        if (!current || plan.home && !planner.isSupported(grant.cell, plan.allocator.id)) {
+        if (!current || !planner.isSupported(grant.cell, plan.allocator.id)) {
             return
         }
-        val lease = Lease(grant.cell, plan.allocator.id, grant.slots, sentMs + grant.leaseMs, plan.home)
-        val virtual = grant.virtual.takeIf { plan.home }
-        parts.runner.scheduler(grant.cell.pool).onLease(lease, virtual, grant.deferred, parts.clock())
+        val lease = Lease(grant.cell, plan.allocator.id, grant.slots, sentMs + grant.leaseMs)
+        parts.runner.scheduler(grant.cell.pool).onLease(lease, grant.virtual, grant.deferred, parts.clock())
     }
 }
 
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/LoanExchanger.kt
@@ -0,0 +1,79 @@
+package corneltrack.router
+
+import corneltrack.policy.ExchangeRequest
+import corneltrack.policy.ExchangeResponse
+import corneltrack.world.Cell
+import corneltrack.world.Instance
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.Executor
+
+private const val PERIOD_MS = 1_800L
+private const val UNMET_PERIOD_MS = 600L
+
+/**
+ * Exchanges slots and counts of service between the allocators of one pool's cells.
+ *
+ * Only allocators talk across regions, so that this traffic does not grow with the number of routers. What is borrowed
+ * is lent on to the routers of the borrowing cell, whose allocator decides which workspace it is for. Only used on the
+ * control thread.
+ *
+ * @param allocatorOf returns the router that allocates a cell.
+ * @param local answers reports to this router itself.
+ */
+internal class LoanExchanger(
+    private val parts: RouterParts,
+    private val incarnation: String,
+    private val duty: AllocatorDuty,
+    private val control: Executor,
+    private val allocatorOf: (Cell) -> Instance?,
+    private val local: (ExchangeRequest) -> ExchangeResponse,
+) {
+    private data class Loan(val borrower: Cell, val lender: Cell)
+
+    private var sentMs = parts.clock()
+
+    /** Whether more slots are due than could be lent so far. */
+    private var unmet = false
+
+    /** Sends the reports that are due. */
+    fun tick() {
+        val nowMs = parts.clock()
+        if (nowMs - sentMs < if (unmet) UNMET_PERIOD_MS else PERIOD_MS) {
+            return
+        }
+        sentMs = nowMs
+        unmet = false
+        duty.cells.flatMap { borrower -> siblings(borrower).map { Loan(borrower, it) } }
+            .groupBy { allocatorOf(it.lender) }
+            .forEach { (peer, loans) -> if (peer != null) exchange(peer, loans, nowMs) }
+    }
+
+    private fun siblings(cell: Cell): List<Cell> {
+        val view = parts.views.current
+        return view.endpointsByCell.keys
+            .filter { it.pool == cell.pool && it != cell && !view.configuration.isOut(it.dataCentre) }
+    }
+
+    private fun exchange(peer: Instance, loans: List<Loan>, nowMs: Long) {
+        loans.groupBy { it.borrower }.forEach { (borrower, fromPeer) ->
+            val reports = fromPeer.mapNotNull { duty.borrowReport(borrower, it.lender) }
+                .filter { it.workspaces.isNotEmpty() || it.running.isNotEmpty() }
+            if (reports.isNotEmpty()) {
+                val request = ExchangeRequest(parts.settings.id, incarnation, cells = reports)
+                send(peer, request).thenAcceptAsync({ response ->
+                    response?.grants?.forEach { grant ->
+                        duty.onLoan(borrower, grant, nowMs)
+                        unmet = unmet || grant.unmet
+                    }
+                }, control)
+            }
+        }
+    }
+
+    private fun send(peer: Instance, request: ExchangeRequest): CompletableFuture<ExchangeResponse?> =
+        if (peer.id == parts.settings.id) {
+            CompletableFuture.completedFuture(local(request))
+        } else {
+            parts.peers.exchange(peer, request)
+        }
+}
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/OutcomeLedger.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/OutcomeLedger.kt
@@ -31,10 +31,3 @@
     is AttemptEnd.Broken -> OutcomeReport(broken = 1).takeIf { !reused }
     is AttemptEnd.CallerGone -> null
 }
-
-private operator fun OutcomeReport.plus(other: OutcomeReport): OutcomeReport = OutcomeReport(
-    successes + other.successes,
-    refused + other.refused,
-    broken + other.broken,
-    firstByteMs + other.firstByteMs,
-)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/PeerClient.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/PeerClient.kt
@@ -2,7 +2,6 @@
 
 import corneltrack.policy.ExchangeRequest
 import corneltrack.policy.ExchangeResponse
-import corneltrack.policy.ServiceSummary
 import corneltrack.wire.ControlClient
 import corneltrack.wire.ControlRequest
 import corneltrack.wire.ControlResult
@@ -22,11 +21,6 @@
     fun exchange(peer: Instance, request: ExchangeRequest): CompletableFuture<ExchangeResponse?> =
         post(peer, EXCHANGE_PATH, wireJson.encodeToString(request)).thenApply { decode<ExchangeResponse>(it) }
 
-    /** Tells another allocator what a cell here has served. */
-    fun summarise(peer: Instance, summaries: List<ServiceSummary>) {
-        post(peer, SUMMARY_PATH, wireJson.encodeToString(summaries))
-    }
-
     /** Fetches a peer's configuration, or null where no sensible answer came. */
     fun configuration(peer: Instance): CompletableFuture<Configuration?> =
         get(peer, CONFIGURATION_PATH, PEER_TIMEOUT_MS).thenApply { decode<Configuration>(it) }
@@ -51,6 +45,5 @@
 }
 
 internal const val EXCHANGE_PATH: String = "/peer/exchange"
-internal const val SUMMARY_PATH: String = "/peer/summary"
 internal const val CONFIGURATION_PATH: String = "/peer/configuration"
 internal const val CLAIM_PATH: String = "/peer/claims/"
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/PoolScheduler.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/PoolScheduler.kt
@@ -2,7 +2,6 @@
 
 import corneltrack.policy.Lease
 import corneltrack.world.Cell
-import corneltrack.world.Endpoint
 import corneltrack.world.EndpointId
 import corneltrack.world.PoolId
 import corneltrack.world.WorkspaceId
@@ -16,14 +15,18 @@
 internal class ExpiredRequests(val late: List<RoutedRequest>, val isolated: List<RoutedRequest>)
 
 /** Tells whether anything waits or runs in one pool at this router. */
-internal data class PoolActivity(val waiting: Boolean, val overdue: Boolean, val runningIn: Set<Cell>)
+internal data class PoolActivity(val waiting: Boolean, val runningIn: Set<Cell>)
+
+/** Counts the slots in use that one cell's allocator has lent. */
+internal data class HeldSlots(
+    val workspaces: MutableMap<WorkspaceId, Int> = HashMap(),
+    val endpoints: MutableMap<EndpointId, Int> = HashMap(),
+)
 
 /** Shows what one pool does at this router, for reports to allocators and operators. */
 internal class PoolSnapshot(
     val waiting: Map<WorkspaceId, WaitCount>,
-    val overdue: Map<WorkspaceId, WaitCount>,
-    val running: Map<EndpointId, Int>,
-    val runningByCell: Map<Cell, Map<WorkspaceId, Int>>,
+    val held: Map<Cell, HeldSlots>,
     val virtual: Map<WorkspaceId, Long>,
 )
 
@@ -63,13 +66,13 @@
     fun withdraw(request: RoutedRequest): Boolean = lock.withLock { state.queue.remove(request) }
 
     /** Gives the slot of an ended attempt back. [cost] is known only for requests that ran to their end. */
-    fun finish(request: RoutedRequest, endpoint: Endpoint, cost: Long?, broken: Boolean, nowMs: Long) {
-        lock.withLock { state.finish(request, endpoint, cost, broken) }
+    fun finish(start: Start, cost: Long?, broken: Boolean, nowMs: Long) {
+        lock.withLock { state.finish(start, cost, broken) }
         pump(nowMs)
     }
 
-    /** Applies a grant and starts what can start. [virtual] is null for cells of other home groups. */
-    fun onLease(lease: Lease, virtual: Map<WorkspaceId, Long>?, deferred: Set<WorkspaceId>, nowMs: Long) {
+    /** Applies a grant and starts what can start. */
+    fun onLease(lease: Lease, virtual: Map<WorkspaceId, Long>, deferred: Set<WorkspaceId>, nowMs: Long) {
         lock.withLock { state.onLease(lease, virtual, deferred) }
         pump(nowMs)
     }
@@ -85,7 +88,7 @@
     /** Returns whether any slots are lent to this router. */
     fun leased(nowMs: Long): Boolean = lock.withLock { state.slots.anyLease(nowMs) }
 
-    fun activity(nowMs: Long): PoolActivity = lock.withLock { state.activity(nowMs) }
+    fun activity(): PoolActivity = lock.withLock { state.activity() }
 
     fun snapshot(nowMs: Long): PoolSnapshot = lock.withLock { state.snapshot(nowMs) }
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/PoolState.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/PoolState.kt
@@ -11,21 +11,25 @@
 
 private const val PRIOR_COST = 100.0
 private const val MEAN_LEARNING = 0.1
-private const val OVERDUE_LIMIT = 256
 
-/** A request that has been given a slot. */
-internal class Start(val request: RoutedRequest, val endpoint: Endpoint)
+/** A request that has been given a slot and is charged its estimated cost. */
+internal class Start(
+    val request: RoutedRequest,
+    val endpoint: Endpoint,
+    val lender: Cell,
+    val cost: CostMeter,
+)
 
 /** Holds what waits and runs in one pool at this router. Not thread-safe; guarded by the pool's scheduler. */
 internal class PoolState(
     private val views: RouterViews,
     private val spillAfterMs: Long,
     private val choose: EndpointChooser,
-    meter: ServiceMeter,
+    private val meter: ServiceMeter,
 ) {
     private val estimator = CostEstimator<WorkspaceId>(PRIOR_COST)
-    private val running = HashMap<Cell, HashMap<WorkspaceId, Int>>()
-    private val order = DispatchOrder(meter, estimator) {
+    private val held = HashMap<Cell, HeldSlots>()
+    private val order = DispatchOrder(meter) {
         views.current.configuration.agreement.termsFor(it).weight
     }
     val queue = FairQueue<RoutedRequest>()
@@ -39,59 +43,52 @@
     fun enter(request: RoutedRequest, limit: Int): Boolean =
         if (request.attempts == 0) queue.offer(request, limit) else true.also { queue.putBack(request) }
 
-    /** Applies a grant. [virtual] is null for cells of other home groups. */
-    fun onLease(lease: Lease, virtual: Map<WorkspaceId, Long>?, deferred: Set<WorkspaceId>) {
+    /** Applies a grant. */
+    fun onLease(lease: Lease, virtual: Map<WorkspaceId, Long>, deferred: Set<WorkspaceId>) {
         slots.onLease(lease)
-        virtual?.let { order.onGrant(it, deferred) }
+        order.onGrant(virtual, deferred)
     }
 
     /** Gives the slot of an ended attempt back. [cost] is known only for requests that ran to their end. */
-    fun finish(request: RoutedRequest, endpoint: Endpoint, cost: Long?, broken: Boolean) {
-        slots.release(endpoint.id)
-        order.onEnd(request.workspace)
-        running[endpoint.cell]?.computeIfPresent(request.workspace) { _, count -> if (count > 1) count - 1 else null }
-        choose.onEnd(request, endpoint.id)
+    fun finish(start: Start, cost: Long?, broken: Boolean) {
+        val request = start.request
+        slots.release(start.endpoint.id)
+        held[start.lender]?.let {
+            it.workspaces.decrement(request.workspace)
+            it.endpoints.decrement(start.endpoint.id)
+        }
+        choose.onEnd(request, start.endpoint.id)
         if (cost != null) {
             estimator.learn(request.workspace, cost.toDouble())
             meanCost += MEAN_LEARNING * (cost - meanCost)
         }
         if (broken) {
-            slots.trip(endpoint.id)
+            slots.trip(start.endpoint.id)
         }
     }
 
     /** Takes a slot for the waiting request that is due next, or returns null where none can start. */
     fun next(nowMs: Long): Start? {
-        val home = open(slots.free(nowMs, home = true))
-        val remote = open(slots.free(nowMs, home = false))
-        if (home.isEmpty() && remote.isEmpty()) {
+        val free = slots.free(nowMs).filterKeys { views.current.isOpen(it) }
+        if (free.isEmpty()) {
             return null
         }
+        val home = free.filterKeys { slots.lender(it) == views.current.endpoints[it]?.cell }
+        val remote = free - home.keys
         return order.sorted(queue.workspaces).firstNotNullOfOrNull { workspace ->
             queue.peek(workspace)?.let { start(it, home, remote, nowMs) }
         }
     }
 
-    /** Returns whether requests wait, wait past the spill time, or run, without a full snapshot. */
-    fun activity(nowMs: Long): PoolActivity = PoolActivity(
-        waiting = queue.workspaces.isNotEmpty(),
-        overdue = queue.workspaces.any { nowMs - queue.peek(it)!!.arrivedMs >= spillAfterMs },
-        runningIn = running.filterValues { it.isNotEmpty() }.keys.toSet(),
-    )
+    /** Returns whether requests wait or run, without a full snapshot. */
+    fun activity(): PoolActivity =
+        PoolActivity(queue.workspaces.isNotEmpty(), held.filterValues { it.endpoints.isNotEmpty() }.keys.toSet())
 
-    fun snapshot(nowMs: Long): PoolSnapshot {
-        val waiting = queue.workspaces.associateWith { WaitCount(queue.count(it), nowMs - queue.peek(it)!!.arrivedMs) }
-        val overdue = waiting.filterValues { it.oldestMs >= spillAfterMs }.mapValues { (workspace, all) ->
-            all.copy(count = queue.countArrivedBy(workspace, nowMs - spillAfterMs, OVERDUE_LIMIT))
-        }
-        return PoolSnapshot(
-            waiting = waiting,
-            overdue = overdue,
-            running = slots.running(),
-            runningByCell = running.mapValues { HashMap(it.value) },
-            virtual = order.known(),
-        )
-    }
+    fun snapshot(nowMs: Long): PoolSnapshot = PoolSnapshot(
+        waiting = queue.workspaces.associateWith { WaitCount(queue.count(it), nowMs - queue.peek(it)!!.arrivedMs) },
+        held = held.mapValues { HeldSlots(HashMap(it.value.workspaces), HashMap(it.value.endpoints)) },
+        virtual = order.known(),
+    )
 
     private fun start(
         request: RoutedRequest,
@@ -101,15 +98,22 @@
     ): Start? {
         val waited = nowMs - request.arrivedMs >= spillAfterMs
         val chosen = choose(request, home) ?: remote.takeIf { waited }?.let { choose(request, it) }
-        return chosen?.let { views.current.endpoints[it] }?.let { endpoint ->
-            queue.remove(request)
-            slots.acquire(endpoint.id)
-            order.onStart(request.workspace)
-            running.getOrPut(endpoint.cell) { HashMap() }.merge(request.workspace, 1, Int::plus)
-            choose.onStart(request, endpoint.id)
-            Start(request, endpoint)
-        }
+        return chosen?.let { views.current.endpoints[it] }?.let { take(request, it) }
+    }
+
+    private fun take(request: RoutedRequest, endpoint: Endpoint): Start {
+        val lender = slots.lender(endpoint.id) ?: endpoint.cell
+        queue.remove(request)
+        slots.acquire(endpoint.id)
+        val inUse = held.getOrPut(lender) { HeldSlots() }
+        inUse.workspaces.merge(request.workspace, 1, Int::plus)
+        inUse.endpoints.merge(endpoint.id, 1, Int::plus)
+        choose.onStart(request, endpoint.id)
+        val estimate = estimator.estimate(request.workspace).toLong()
+        return Start(request, endpoint, lender, CostMeter(request, lender, meter, estimate))
     }
+}
 
-    private fun open(free: Map<EndpointId, Int>): Map<EndpointId, Int> = free.filterKeys { views.current.isOpen(it) }
+private fun <K> MutableMap<K, Int>.decrement(key: K) {
+    computeIfPresent(key) { _, count -> if (count > 1) count - 1 else null }
 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/RequestRunner.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/RequestRunner.kt
@@ -6,7 +6,6 @@
 import corneltrack.policy.RetryBudget
 import corneltrack.policy.decideNextStep
 import corneltrack.wire.event
-import corneltrack.world.Endpoint
 import corneltrack.world.PoolId
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.HttpResponseStatus
@@ -92,7 +91,7 @@
     private fun startAttempt(start: Start) {
         val request = start.request
         request.eventLoop.execute {
-            val run = Run(request, start.endpoint)
+            val run = Run(start)
             request.attempts++
             val attempt = Attempt(request, start.endpoint, connections, clock, run)
             request.attempt = attempt
@@ -113,9 +112,11 @@
         }
     }
 
-    private inner class Run(private val request: RoutedRequest, private val endpoint: Endpoint) : AttemptListener {
+    private inner class Run(private val start: Start) : AttemptListener {
+        private val request = start.request
+        private val endpoint = start.endpoint
+        private val meter = start.cost
         private val startedMs = clock()
-        private val meter = CostMeter(request, endpoint, scheduler(request.pool.id).meter)
         private var firstByteMs = 0L
 
         override fun onFirstByte() {
@@ -137,7 +138,7 @@
             request.tried += endpoint.id
             val cost = meter.total.takeIf { end is AttemptEnd.Done }
             val broken = end is AttemptEnd.NotSent || end is AttemptEnd.Broken && !end.reused
-            scheduler(request.pool.id).finish(request, endpoint, cost, broken, clock())
+            scheduler(request.pool.id).finish(start, cost, broken, clock())
             if (end is AttemptEnd.Broken && end.suspicious) {
                 crashes.assess(request.identity.fingerprint, endpoint)
                     .whenCompleteAsync({ _, _ -> follow(decide(end, clock()), end) }, request.eventLoop)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/Router.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/Router.kt
@@ -12,6 +12,7 @@
 import corneltrack.wire.WorkspaceStatus
 import corneltrack.wire.event
 import corneltrack.wire.wireJson
+import corneltrack.world.Cell
 import corneltrack.world.DataCentreId
 import corneltrack.world.Instance
 import corneltrack.world.InstanceId
@@ -74,6 +75,7 @@
     private val upkeep = AllocatorUpkeep(parts, duty, loads, control)
     private val snapshots = SnapshotDuty(settings, views, log, reader, clock)
     private val exchanger = Exchanger(parts, incarnation, times, control, duty::exchange, ::fetchConfiguration)
+    private val loans = LoanExchanger(parts, incarnation, duty, control, ::allocatorOf, duty::exchange)
     private val keyed = KeyedRequests(
         parts,
         incarnation,
@@ -136,6 +138,7 @@
     private fun tick() {
         runCatching {
             exchanger.tick()
+            loans.tick()
             upkeep.tick()
             snapshots.tick()
             if (ticks++ % EXPIRE_EVERY_TICKS == 0L) {
@@ -146,6 +149,8 @@
         }
     }
 
+    private fun allocatorOf(cell: Cell): Instance? = exchanger.planner.allocatorOf(cell, views.current, clock())
+
     private fun fetchConfiguration(peer: Instance) {
         peers.configuration(peer).thenAccept { configuration -> configuration?.let { views.publish(it) } }
     }
@@ -205,7 +210,7 @@
 
 private fun PoolScheduler.workspaceStatus(nowMs: Long): List<WorkspaceStatus> {
     val snapshot = snapshot(nowMs)
-    val running = snapshot.runningByCell.values.flatMap { it.entries }.groupBy({ it.key }, { it.value })
+    val running = snapshot.held.values.flatMap { it.workspaces.entries }.groupBy({ it.key }, { it.value })
     return (snapshot.waiting.keys + running.keys + meter.workspaces()).map { workspace ->
         WorkspaceStatus(
             pool,
--- a/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/Measure.kt
+++ b/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/Measure.kt
@@ -81,16 +81,26 @@
             residentBytes = after.maxOf { it.value.residentBytes },
             counts = driver.counts.toString(),
             overruns = fleet.engines.values.sumOf { it.overruns.get() },
-            notes = notes,
+            refusals = fleet.engines.values.sumOf { it.refusals.get() },
+            notes = (listOf(notes).filter { it.isNotEmpty() } + spread(samples)).joinToString("; "),
         )
     }
 
+    /** Names the workspaces that were served least and most. */
+    private fun spread(samples: List<ServiceSample>): String {
+        val first = samples.firstOrNull()?.served.orEmpty()
+        val served = samples.lastOrNull()?.served.orEmpty().mapValues { it.value - (first[it.key] ?: 0) }
+        val least = served.minByOrNull { it.value }
+        val most = served.maxByOrNull { it.value }
+        return "served ${least?.value} (${least?.key}) to ${most?.value} (${most?.key})"
+    }
+
     private fun table(results: List<ScenarioResult>): String = buildString {
         appendLine("commit $commit, `bin/corneltrack-testbed measure --seconds $seconds`")
         appendLine()
         appendLine(
             "| scenario | gap, tokens (first half) | utilisation | control B/s | cross-region control B/s | " +
-                "cross-region request B/s | control core % | RSS MiB | callers saw | cold overruns | notes |",
+                "cross-region request B/s | control core % | RSS MiB | callers saw | over-limit starts cold, warm | notes |",
         )
         appendLine("|---|---|---|---|---|---|---|---|---|---|---|")
         results.forEach { appendLine(it.row()) }
@@ -106,7 +116,7 @@
         "%.2f".format(controlCore * PERCENT),
         "%.0f".format(residentBytes / MEBIBYTE),
         counts,
-        "$overruns",
+        "$overruns, $refusals",
         notes,
     ).joinToString(" | ", "| ", " |")
 }
--- a/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/Scenario.kt
+++ b/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/Scenario.kt
@@ -33,6 +33,7 @@
     val residentBytes: Long,
     val counts: String,
     val overruns: Int,
+    val refusals: Int,
     val notes: String,
 )
 
