Move slots between cells more slowly and exchange less often

Cause: loans followed each change of the division, and control traffic and time were above target. Change: a division step of eight requests' cost, a handicap of 2.5 steps and a band of a third for loans; active reports every 250 ms, ticks every 40 ms, list reads every second; a borrower asks again early only when two or more slots are missing.

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/CellAllocator.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/CellAllocator.kt
@@ -8,8 +8,8 @@
 import corneltrack.world.WorkspaceId
 
 private const val DEFAULT_QUANTUM = 100.0
-private const val DIVIDE_EVERY_MS = 40L
-private const val QUANTUM_REQUESTS = 4
+private const val DIVIDE_EVERY_MS = 100L
+private const val QUANTUM_REQUESTS = 8
 private const val LIMITS_EVERY_GRANTS = 16L
 private const val QUANTUM_LEARNING = 0.05
 
@@ -172,7 +172,7 @@
         val slots = capacity.choose(holder, target, nowMs)
         sequence++
         holder.onGrant(slots, sequence, nowMs + lease)
-        val bare = CellGrant(cell, sequence, slots, lease, unmet = target > slots.values.sum())
+        val bare = CellGrant(cell, sequence, slots, lease, unmet = target > slots.values.sum() + 1)
         val limits = if (sequence % LIMITS_EVERY_GRANTS == 1L) book.limits() else emptyMap()
         return if (holder.local) {
             bare.withOrder(
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/CompactSerializers.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/CompactSerializers.kt
@@ -34,7 +34,9 @@
         val fields = text.split(',', limit = REPORT_FIELDS)
         val numbers = fields.take(NAME_FIELD).mapNotNull { it.toLongOrNull() }
         if (fields.size != REPORT_FIELDS || numbers.size != NAME_FIELD) {
-            throw SerializationException("expected waiting,running,served,oldestWaitMs,elsewhere,workspace, found '$text'")
+            throw SerializationException(
+                "expected waiting,running,served,oldestWaitMs,elsewhere,workspace, found '$text'"
+            )
         }
         return WorkspaceReport(
             WorkspaceId(fields[NAME_FIELD]),
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/FairDivision.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/FairDivision.kt
@@ -7,7 +7,7 @@
 import kotlin.math.floor
 import kotlin.math.max
 
-private const val REMOTE_HANDICAP = 1.0
+private const val REMOTE_HANDICAP = 2.5
 private const val OVERDUE_WAIT_MS = 2_000L
 
 /**
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/Holders.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/Holders.kt
@@ -8,6 +8,7 @@
 import kotlin.math.min
 
 private const val BAND_DIVISOR = 8
+private const val LOAN_BAND_DIVISOR = 3
 private const val WAITING_LIMIT = 256
 
 /** What an allocator knows of one router that holds or wants slots of its cell. Not thread-safe. */
@@ -39,7 +40,7 @@
      */
     fun onDivision(target: Int) {
         val lent = granted.values.sum()
-        val band = max(1, lent / BAND_DIVISOR)
+        val band = max(1, lent / if (local) BAND_DIVISOR else LOAN_BAND_DIVISOR)
         val keeps = lent > 0 && target > 0 && abs(target - lent) <= band && lent <= demand
         due = if (keeps) lent else target
     }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/Exchanger.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/Exchanger.kt
@@ -13,7 +13,7 @@
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.ScheduledExecutorService
 
-private const val ACTIVE_PERIOD_MS = 200L
+private const val ACTIVE_PERIOD_MS = 250L
 private const val IDLE_PERIOD_MS = 500L
 private const val URGENT_PERIOD_MS = 20L
 private const val FAILURES_TO_AVOID = 2
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/FleetWatcher.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/FleetWatcher.kt
@@ -6,7 +6,7 @@
 import java.util.concurrent.ScheduledExecutorService
 import java.util.concurrent.TimeUnit
 
-private const val PERIOD_MS = 500L
+private const val PERIOD_MS = 1_000L
 private val logger = LogManager.getLogger("corneltrack.router.FleetWatcher")
 
 /** Reads the instance list again and again. While the platform does not answer, the last list holds. */
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/LoanExchanger.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/LoanExchanger.kt
@@ -8,7 +8,7 @@
 import java.util.concurrent.Executor
 
 private const val PERIOD_MS = 1_800L
-private const val UNMET_PERIOD_MS = 600L
+private const val UNMET_PERIOD_MS = 1_000L
 
 /**
  * Exchanges slots and counts of service between the allocators of one pool's cells.
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/Router.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/Router.kt
@@ -29,8 +29,8 @@
 import java.util.concurrent.ScheduledExecutorService
 import java.util.concurrent.TimeUnit
 
-private const val TICK_MS = 25L
-private const val EXPIRE_EVERY_TICKS = 4
+private const val TICK_MS = 40L
+private const val EXPIRE_EVERY_TICKS = 3
 private const val ISOLATION_MS = 6_000L
 private const val REQUEST_HEAD_BYTES = 140L
 private const val ANSWER_HEAD_BYTES = 80L
