--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/CellAllocator.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/CellAllocator.kt
@@ -48,7 +48,7 @@
 ) {
     private val supporters = Supporters(times)
     private val holders = Holders(times)
-    private val book = EndpointBook()
+    private val book = EndpointBook(times)
     private val borrowed = BorrowedSlots()
     private val loanSequences = HashMap<Cell, Long>()
     private val capacity = CellCapacity(times, supporters, holders, book, borrowed)
@@ -61,7 +61,7 @@
     /** Takes in what configuration and instance list say about the cell. */
     public fun onView(view: CellView, nowMs: Long) {
         supporters.onList(view.home, nowMs)
-        book.onEndpoints(view.endpoints, view.open, view.pool)
+        book.onEndpoints(view, nowMs)
     }
 
     /** Takes in what an endpoint of the cell published about itself. */
@@ -70,8 +70,8 @@
     }
 
     /** Takes in that nothing listens at the address of an endpoint of the cell. */
-    public fun onEndpointDown(id: EndpointId) {
-        book.onOutcomes(id, OutcomeReport(broken = 1), inFlight = 0)
+    public fun onEndpointDown(id: EndpointId, nowMs: Long) {
+        book.onOutcomes(id, OutcomeReport(broken = 1), inFlight = 0, nowMs)
     }
 
     /**
@@ -94,7 +94,7 @@
         )
     }
 
-    /** Takes in what the allocator of [CellGrant.cell] has lent to this cell, in answer to a report sent at [sentMs]. */
+    /** Takes in what the allocator of another cell has lent to this one, in answer to a report sent at [sentMs]. */
     public fun onLoan(grant: CellGrant, sentMs: Long) {
         loanSequences[grant.cell] = grant.sequence
         borrowed.onLoan(grant.cell, grant.slots, sentMs + grant.leaseMs)
@@ -129,7 +129,7 @@
             service.chargeRemote(holder.origin, totals)
         }
         report.outcomes.forEach { (id, outcomes) ->
-            if (!book.onOutcomes(id, outcomes, inFlight(id) + outcomes.successes)) {
+            if (!book.onOutcomes(id, outcomes, inFlight(id) + outcomes.successes, nowMs)) {
                 borrowed.onOutcomes(id, outcomes)
             }
         }
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/CompactSerializers.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/CompactSerializers.kt
@@ -18,7 +18,7 @@
 private const val ELSEWHERE_FIELD = 4
 private const val NAME_FIELD = 5
 
-/** Writes a [WorkspaceReport] as `waiting,running,served,oldestWaitMs,elsewhere,workspace`, since reports are sent often. */
+/** Writes a [WorkspaceReport] as one short text, since reports are sent often. */
 internal object WorkspaceReportSerializer : KSerializer<WorkspaceReport> {
     override val descriptor: SerialDescriptor =
         PrimitiveSerialDescriptor("corneltrack.policy.WorkspaceReport", PrimitiveKind.STRING)
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/EndpointBook.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/EndpointBook.kt
@@ -6,7 +6,7 @@
 private const val REPORT_WINDOW = 3
 
 /** Keeps, for one cell, each endpoint's limit and the load that no known router accounts for. Not thread-safe. */
-internal class EndpointBook {
+internal class EndpointBook(private val times: LeaseTimes) {
     private class Entry(val pool: Pool, val limit: EndpointLimit) {
         val unaccounted = ArrayDeque<Int>()
         var open = true
@@ -22,26 +22,29 @@
         limits.forEach { (id, limit) -> if (id !in entries) knownLimits.merge(id, limit, ::minOf) }
     }
 
-    /** Sets the endpoints of the cell; those in [open] take new work. */
-    fun onEndpoints(all: Set<EndpointId>, open: Set<EndpointId>, pool: Pool) {
-        entries.keys.retainAll(all)
-        all.forEach { id ->
+    /** Sets the endpoints of the cell. */
+    fun onEndpoints(view: CellView, nowMs: Long) {
+        val pool = view.pool
+        entries.keys.retainAll(view.endpoints)
+        view.endpoints.forEach { id ->
             val known = entries[id]
             if (known == null || known.pool != pool) {
                 val initial = known?.limit?.current ?: knownLimits.remove(id) ?: pool.coldLimit
-                entries[id] = Entry(pool, EndpointLimit(pool.coldLimit, pool.endpointLimit, initial))
+                val limit =
+                    EndpointLimit(pool.coldLimit, pool.endpointLimit, initial, times.reportLagMs, sinceMs = nowMs)
+                entries[id] = Entry(pool, limit)
             }
-            entries.getValue(id).open = id in open
+            entries.getValue(id).open = id in view.open
         }
     }
 
     /** Takes in how requests ended. Returns false where [id] is no endpoint of the cell. */
-    fun onOutcomes(id: EndpointId, outcomes: OutcomeReport, inFlight: Int): Boolean {
+    fun onOutcomes(id: EndpointId, outcomes: OutcomeReport, inFlight: Int, nowMs: Long): Boolean {
         val limit = entries[id]?.limit ?: return false
         val meanMs = outcomes.firstByteMs / outcomes.successes.coerceAtLeast(1)
-        repeat(outcomes.successes) { limit.onOutcome(EndpointOutcome.SUCCESS, meanMs, inFlight) }
-        if (outcomes.refused > 0) limit.onOutcome(EndpointOutcome.REFUSED, 0, inFlight)
-        if (outcomes.broken > 0) limit.onOutcome(EndpointOutcome.BROKEN, 0, inFlight)
+        repeat(outcomes.successes) { limit.onOutcome(EndpointOutcome.SUCCESS, meanMs, inFlight, nowMs) }
+        if (outcomes.refused > 0) limit.onOutcome(EndpointOutcome.REFUSED, 0, inFlight, nowMs)
+        if (outcomes.broken > 0) limit.onOutcome(EndpointOutcome.BROKEN, 0, inFlight, nowMs)
         return true
     }
 
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/EndpointLimit.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/EndpointLimit.kt
@@ -33,18 +33,25 @@
  *
  * The limit starts at [coldLimit], grows by a quarter for each full round of timely answers, shrinks when the endpoint
  * refuses, and falls back to [coldLimit] on any sign of a cold start: a new incarnation, a reported cold state or a
- * broken connection. Not thread-safe; owned by the allocator of the endpoint's cell.
+ * broken connection. After that it does not grow until the endpoint's lagging reports must have shown a cold start.
+ * Not thread-safe; owned by the allocator of the endpoint's cell.
+ *
+ * @param settleMs how long reports may lag behind, in ms.
+ * @param sinceMs when the endpoint became known, in ms.
  */
 public class EndpointLimit(
     private val coldLimit: Int,
     private val ceiling: Int,
     initial: Int = coldLimit,
+    private val settleMs: Long = 0,
+    sinceMs: Long = 0,
 ) {
     private var limit = initial.coerceIn(min(coldLimit, ceiling), ceiling)
     private var successes = 0
     private var typicalFirstByteMs = 0.0
     private var incarnation: String? = null
     private var reportedCold = false
+    private var settledMs = sinceMs + settleMs
 
     /** Whether the endpoint is in cold start as far as is known. */
     public var cold: Boolean = limit <= coldLimit
@@ -63,11 +70,11 @@
      * @param inFlight the requests that the endpoint ran lately, including those that just ended; only a full endpoint
      * shows that it bears its limit.
      */
-    public fun onOutcome(outcome: EndpointOutcome, firstByteMs: Long, inFlight: Int) {
+    public fun onOutcome(outcome: EndpointOutcome, firstByteMs: Long, inFlight: Int, nowMs: Long) {
         when (outcome) {
-            EndpointOutcome.SUCCESS -> onSuccess(firstByteMs, full = inFlight >= limit)
+            EndpointOutcome.SUCCESS -> onSuccess(firstByteMs, full = inFlight >= limit, nowMs)
             EndpointOutcome.REFUSED -> shrink()
-            EndpointOutcome.BROKEN -> fallToCold()
+            EndpointOutcome.BROKEN -> fallToCold(nowMs)
         }
     }
 
@@ -77,11 +84,11 @@
         incarnation = report.incarnation
         reportedCold = report.cold
         if (restarted || report.cold) {
-            fallToCold()
+            fallToCold(report.atMs)
         }
     }
 
-    private fun onSuccess(firstByteMs: Long, full: Boolean) {
+    private fun onSuccess(firstByteMs: Long, full: Boolean, nowMs: Long) {
         val slow = typicalFirstByteMs > 0 && firstByteMs > LATENCY_TOLERANCE * typicalFirstByteMs + 1
         typicalFirstByteMs += LATENCY_WEIGHT * (firstByteMs - typicalFirstByteMs)
         if (slow) {
@@ -91,7 +98,7 @@
         if (full) {
             successes++
         }
-        if (successes >= limit && !reportedCold) {
+        if (successes >= limit && !reportedCold && nowMs >= settledMs) {
             grow()
         }
     }
@@ -107,7 +114,8 @@
         limit = max(min(coldLimit, ceiling), (limit * DECREASE_FACTOR).toInt())
     }
 
-    private fun fallToCold() {
+    private fun fallToCold(nowMs: Long) {
+        settledMs = nowMs + settleMs
         successes = 0
         limit = min(coldLimit, ceiling)
         cold = true
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/FairDivision.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/FairDivision.kt
@@ -43,9 +43,9 @@
 /**
  * Divides [slots] among [demands] by weighted max-min fairness, corrected by the service received so far.
  *
- * Slots go one at a time to the workspace whose virtual service is lowest, counting each slot already assigned as
- * one unit of virtual service. A workspace at its cap is passed over while another one can use the slot; afterwards unused slots
- * are lent to it all the same.
+ * Slots go one at a time to the workspace whose virtual service is lowest, counting each slot already assigned as one
+ * unit of virtual service. A workspace at its cap is passed over while another one can use the slot; afterwards unused
+ * slots are lent to it all the same.
  *
  * @param virtual the virtual service of a workspace, in units of what one slot serves until slots should have moved.
  * @param terms the agreement's terms of a workspace.
@@ -130,25 +130,27 @@
     private fun capOf(share: Share): Int = max(1, floor(terms(share.workspace).cap * slots).toInt())
 }
 
+/** The part of a workspace's slots that goes to one router before rounding up. */
+private class Part(val demand: Demand, assigned: Int, total: Int) {
+    private val exact = assigned.toDouble() * demand.total / total
+    val base = floor(exact).toInt()
+    val remainder = exact - base
+    val overdue = base == 0 && demand.running == 0 && demand.oldestWaitMs > OVERDUE_WAIT_MS
+    val keeps = demand.running > base
+}
+
 /** Spreads [assigned] slots of one workspace over its routers in proportion to demand, moving as few as it can. */
 private fun spread(assigned: Int, demands: List<Demand>, targets: MutableMap<InstanceId, Int>) {
     val total = demands.sumOf { it.total }
     if (total == 0 || assigned == 0) {
         return
     }
-    val base = demands.associateWith { floor(assigned.toDouble() * it.total / total).toInt() }
-    var left = assigned - base.values.sum()
-    val order = demands.sortedWith(
-        compareBy<Demand> { !it.overdue(base.getValue(it)) }
-            .thenBy { it.running <= base.getValue(it) }
-            .thenByDescending { assigned.toDouble() * it.total / total - base.getValue(it) }
-            .thenBy { it.instance },
-    )
-    for (demand in order) {
-        val extra = if (left > 0 && base.getValue(demand) < demand.total) 1 else 0
+    val parts = demands.map { Part(it, assigned, total) }
+    var left = assigned - parts.sumOf { it.base }
+    val order = compareBy<Part>({ !it.overdue }, { !it.keeps }, { -it.remainder }, { it.demand.instance })
+    for (part in parts.sortedWith(order)) {
+        val extra = if (left > 0 && part.base < part.demand.total) 1 else 0
         left -= extra
-        targets.merge(demand.instance, base.getValue(demand) + extra, Int::plus)
+        targets.merge(part.demand.instance, part.base + extra, Int::plus)
     }
 }
-
-private fun Demand.overdue(base: Int): Boolean = base == 0 && running == 0 && oldestWaitMs > OVERDUE_WAIT_MS
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/VirtualService.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/VirtualService.kt
@@ -6,7 +6,8 @@
  * Counts, per workspace, the cost served divided by weight, as the order in which workspaces are due.
  *
  * Totals come from many origins as cumulative sums, so that a repeated message changes nothing. They include the
- * estimated cost of running requests, and fall where an estimate proves too high. A workspace that does not wait is raised to the least served one that does: idle time earns no credit. Not thread-safe.
+ * estimated cost of running requests, and fall where an estimate proves too high. A workspace that does not wait is
+ * raised to the least served one that does: idle time earns no credit. Not thread-safe.
  *
  * @param weightOf the weight of a workspace under the agreement.
  */
--- /dev/null
+++ b/corneltrack-policy/src/test/kotlin/corneltrack/policy/FairDivisionTest.kt
@@ -0,0 +1,92 @@
+package corneltrack.policy
+
+import corneltrack.world.InstanceId
+import corneltrack.world.Terms
+import corneltrack.world.WorkspaceId
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class FairDivisionTest {
+    private val near = InstanceId("near")
+    private val far = InstanceId("far")
+    private val one = WorkspaceId("one")
+    private val two = WorkspaceId("two")
+
+    @Test
+    fun `equal workspaces get equal slots wherever their requests wait`() {
+        val demands = listOf(Demand(one, near, 20, 0), Demand(two, far, 20, 0))
+        val division = divide(10, demands, { 0.0 }, { Terms() })
+        assertEquals(mapOf(near to 5, far to 5), division.targets)
+    }
+
+    @Test
+    fun `slots follow weights`() {
+        val demands = listOf(Demand(one, near, 20, 0), Demand(two, far, 20, 0))
+        val division = divide(9, demands, { 0.0 }, { Terms(weight = if (it == one) 2.0 else 1.0, cap = 1.0) })
+        assertEquals(mapOf(near to 6, far to 3), division.targets)
+    }
+
+    @Test
+    fun `the cap binds while another workspace waits and lends what that one leaves`() {
+        val terms = { _: WorkspaceId -> Terms(cap = 0.5) }
+        val contended = listOf(Demand(one, near, 20, 0), Demand(two, far, 20, 0))
+        val behind = { workspace: WorkspaceId -> if (workspace == one) 0.0 else 1_000.0 }
+        assertEquals(mapOf(near to 5, far to 5), divide(10, contended, behind, terms).targets)
+        val alone = listOf(Demand(one, near, 20, 0), Demand(two, far, 1, 0))
+        assertEquals(mapOf(near to 9, far to 1), divide(10, alone, behind, terms).targets)
+    }
+
+    @Test
+    fun `a workspace that was served less is made up for`() {
+        val demands = listOf(Demand(one, near, 20, 0), Demand(two, far, 20, 0))
+        val division = divide(10, demands, { if (it == one) 4.0 else 0.0 }, { Terms(cap = 1.0) })
+        assertEquals(mapOf(near to 3, far to 7), division.targets)
+    }
+
+    @Test
+    fun `slots held in other cells count towards a workspace's share`() {
+        val demands = listOf(Demand(one, near, 20, 0), Demand(two, far, 20, 0))
+        val division = divide(10, demands, { 0.0 }, { Terms(cap = 1.0) }, elsewhere = mapOf(one to 4))
+        assertEquals(mapOf(near to 3, far to 7), division.targets)
+    }
+
+    @Test
+    fun `no slot stays idle while anything waits, for any demand`() {
+        repeat(RUNS) { seed ->
+            val random = Random(seed)
+            val demands = (0 until random.nextInt(1, 30)).map {
+                Demand(
+                    WorkspaceId("w${random.nextInt(8)}"),
+                    InstanceId("r${random.nextInt(5)}"),
+                    random.nextInt(6),
+                    random.nextInt(3),
+                    local = random.nextBoolean(),
+                )
+            }
+            val slots = random.nextInt(40)
+            val terms = { workspace: WorkspaceId -> Terms(1.0 + workspace.value.length, 0.3) }
+            val served = (0 until 8).associate { WorkspaceId("w$it") to random.nextDouble(5.0) }
+            val division = divide(slots, demands, { served.getValue(it) }, terms)
+            val wanted = demands.sumOf { it.waiting + it.running }
+            val given = division.targets.values.sum()
+            assertEquals(minOf(slots, wanted), given, "seed $seed")
+            assertEquals(slots - given, division.spare, "seed $seed")
+        }
+    }
+
+    @Test
+    fun `a router whose request has waited long is not passed over for one with a long queue`() {
+        val demands = listOf(
+            Demand(one, near, 1_000, 2),
+            Demand(one, far, 1, 0, oldestWaitMs = 10_000),
+        )
+        val division = divide(2, demands, { 0.0 }, { Terms() })
+        assertTrue((division.targets[far] ?: 0) == 1, "targets ${division.targets}")
+    }
+
+    private companion object {
+        const val RUNS = 500
+    }
+}
--- /dev/null
+++ b/corneltrack-policy/src/test/kotlin/corneltrack/policy/QuarantineTest.kt
@@ -0,0 +1,32 @@
+package corneltrack.policy
+
+import corneltrack.world.EndpointId
+import kotlin.test.Test
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+
+class QuarantineTest {
+    private val quarantine = Quarantine(retentionMs = 1_000)
+
+    @Test
+    fun `crashes of two different endpoints put a request into quarantine`() {
+        assertFalse(quarantine.onSuspicion(Suspicion("poison", EndpointId("a"), "a@1", 0), nowMs = 0))
+        assertTrue(quarantine.isSuspect("poison", 0))
+        assertTrue(quarantine.onSuspicion(Suspicion("poison", EndpointId("b"), "b@1", 10), nowMs = 10))
+        assertFalse(quarantine.isQuarantined("innocent", 10))
+    }
+
+    @Test
+    fun `one endpoint that crashes twice does not`() {
+        quarantine.onSuspicion(Suspicion("unlucky", EndpointId("a"), "a@1", 0), nowMs = 0)
+        assertFalse(quarantine.onSuspicion(Suspicion("unlucky", EndpointId("a"), "a@2", 10), nowMs = 10))
+    }
+
+    @Test
+    fun `quarantine ends`() {
+        quarantine.onSuspicion(Suspicion("poison", EndpointId("a"), "a@1", 0), nowMs = 0)
+        quarantine.onSuspicion(Suspicion("poison", EndpointId("b"), "b@1", 0), nowMs = 0)
+        assertTrue(quarantine.isQuarantined("poison", 999))
+        assertFalse(quarantine.isQuarantined("poison", 1_000))
+    }
+}
--- /dev/null
+++ b/corneltrack-policy/src/test/kotlin/corneltrack/policy/RetryDecisionTest.kt
@@ -0,0 +1,51 @@
+package corneltrack.policy
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+
+class RetryDecisionTest {
+    private val once = AttemptedRequest(repeatable = false, attempts = 1, deadlineMs = 1_000)
+    private val repeatable = once.copy(repeatable = true)
+
+    @Test
+    fun `a request that may have left and is not idempotent is never sent again`() {
+        for (end in listOf(broken(), broken(reused = true), broken(silent = true))) {
+            assertIs<NextStep.AnswerUnknown>(decideNextStep(once, end, RetryBudget(), 0), "$end")
+        }
+    }
+
+    @Test
+    fun `a request of which nothing left may be sent elsewhere whatever it is`() {
+        assertIs<NextStep.Retry>(decideNextStep(once, AttemptEnd.NotSent("refused"), RetryBudget(), 0))
+    }
+
+    @Test
+    fun `an idempotent request is retried within its deadline and the budget only`() {
+        assertIs<NextStep.Retry>(decideNextStep(repeatable, broken(), RetryBudget(), 0))
+        assertIs<NextStep.AnswerUnknown>(decideNextStep(repeatable, broken(), RetryBudget(), 1_000))
+        assertIs<NextStep.AnswerUnknown>(decideNextStep(repeatable, broken(), RetryBudget(reserve = 0.0), 0))
+    }
+
+    @Test
+    fun `not run is said only where no attempt can have run`() {
+        val spent = RetryBudget(reserve = 0.0)
+        val end = AttemptEnd.NotSent("refused")
+        assertIs<NextStep.RefuseNotRun>(decideNextStep(repeatable, end, spent, 0))
+        assertIs<NextStep.AnswerUnknown>(decideNextStep(repeatable.copy(mayHaveRun = true), end, spent, 0))
+    }
+
+    @Test
+    fun `an answer that has begun is broken off rather than begun again`() {
+        assertIs<NextStep.Abort>(decideNextStep(repeatable, broken(delivered = true), RetryBudget(), 0))
+    }
+
+    @Test
+    fun `a whole answer and a caller that left end the request`() {
+        assertEquals(NextStep.Finish, decideNextStep(once, AttemptEnd.Done(500), RetryBudget(), 0))
+        assertEquals(NextStep.Finish, decideNextStep(once, AttemptEnd.CallerGone, RetryBudget(), 0))
+    }
+
+    private fun broken(delivered: Boolean = false, reused: Boolean = false, silent: Boolean = false) =
+        AttemptEnd.Broken("reset", delivered, reused, silent)
+}
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/AllocatorDuty.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/AllocatorDuty.kt
@@ -60,7 +60,7 @@
 
     /** Takes in that nothing listens at an endpoint's address. */
     fun onEndpointDown(endpoint: Endpoint) {
-        duties[endpoint.cell]?.allocator?.onEndpointDown(endpoint.id)
+        duties[endpoint.cell]?.allocator?.onEndpointDown(endpoint.id, clock())
     }
 
     /** Builds a report that asks the allocator of [lender] for slots on behalf of [borrower]. */
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/ControlSurface.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/ControlSurface.kt
@@ -30,6 +30,9 @@
 
     fun metrics(): String
 
+    /** Takes in how far [peer] has applied the configuration stream. */
+    fun onPeerOffset(peer: InstanceId, offset: Long)
+
     /** Counts the bodies of an exchange that [peer] began. */
     fun onPeerTraffic(peer: InstanceId, sent: Int, received: Int)
 }
@@ -69,6 +72,7 @@
             val report = wireJson.decodeFromString<ExchangeRequest>(request.body)
             onControl {
                 val response = jsonResponse(duty.exchange(report)).join()
+                source.onPeerOffset(report.from, report.configurationOffset)
                 source.onPeerTraffic(report.from, response.body.length, request.body.length)
                 response
             }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/CrashReports.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/CrashReports.kt
@@ -9,8 +9,11 @@
 import org.apache.logging.log4j.LogManager
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.TimeUnit
 
-private const val YOUNG_UPTIME_MS = 5_000L
+private const val UPTIME_SLACK_MS = 500L
+private const val ASSESSMENT_MS = 5_000L
+private const val ASK_AGAIN_MS = 300L
 private const val SHARED_PROBE_MS = 1_000L
 private const val QUARANTINE_MS = 600_000L
 private val logger = LogManager.getLogger("corneltrack.router.CrashReports")
@@ -39,7 +42,7 @@
         val nowMs = clock()
         val probe = probes.compute(endpoint.id) { _, known ->
             val recent = known?.takeIf { nowMs - it.atMs < SHARED_PROBE_MS }
-            recent ?: Probe(nowMs, loads.ask(endpoint).thenApply(::crashed))
+            recent ?: Probe(nowMs, assess(endpoint, nowMs))
         }
         return probe!!.crashed.thenApply { crashed ->
             if (crashed) suspect(Suspicion(fingerprint, endpoint.id, "${endpoint.id}@${probe.atMs}", time()))
@@ -76,9 +79,19 @@
         share(suspicion)
     }
 
-    private fun crashed(answer: LoadAnswer): Boolean = when (answer) {
-        is LoadAnswer.Down -> true
-        is LoadAnswer.Known -> answer.load.uptimeMs < YOUNG_UPTIME_MS
-        is LoadAnswer.Unknown -> false
-    }
+    /** Asks until the endpoint answers: a crash has left it down, or up for less time than since the break. */
+    private fun assess(endpoint: Endpoint, brokeMs: Long): CompletableFuture<Boolean> =
+        loads.ask(endpoint).thenCompose { answer ->
+            val sinceMs = clock() - brokeMs
+            when {
+                answer is LoadAnswer.Down -> CompletableFuture.completedFuture(true)
+                answer is LoadAnswer.Known ->
+                    CompletableFuture.completedFuture(answer.load.uptimeMs < sinceMs + UPTIME_SLACK_MS)
+                sinceMs > ASSESSMENT_MS -> CompletableFuture.completedFuture(false)
+                else -> later().thenCompose { assess(endpoint, brokeMs) }
+            }
+        }
+
+    private fun later(): CompletableFuture<Unit> =
+        CompletableFuture.supplyAsync({ }, CompletableFuture.delayedExecutor(ASK_AGAIN_MS, TimeUnit.MILLISECONDS))
 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/Exchanger.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/Exchanger.kt
@@ -41,9 +41,10 @@
     private val times: LeaseTimes,
     private val control: ScheduledExecutorService,
     private val local: (ExchangeRequest) -> ExchangeResponse,
-    private val onPeerAhead: (Instance) -> Unit,
+    private val onPeerOffset: (InstanceId, Long) -> Unit,
 ) {
     private val links = HashMap<InstanceId, AllocatorLink>()
+
     /** Decides whom to report to. */
     val planner = ExchangePlanner(parts.settings.id, times, parts.clock())
 
@@ -95,7 +96,7 @@
             cells = cells.map { plan ->
                 val memory = link.cells.getOrPut(plan.cell) { CellMemory() }
                 val scheduler = parts.runner.scheduler(plan.cell.pool)
-                val outcomes = if (memory.outcomesDue(nowMs)) takeOutcomes(plan.cell) else emptyMap()
+                val outcomes = takeOutcomes(plan.cell, memory, nowMs)
                 val served = scheduler.meter.served(plan.cell)
                 val sources = ReportSources(scheduler.snapshot(nowMs), served, outcomes, scheduler.meanCost())
                 cellReport(plan.cell, plan.supports, memory, sources)
@@ -103,9 +104,11 @@
         )
     }
 
-    private fun takeOutcomes(cell: Cell): Map<EndpointId, OutcomeReport> {
-        val endpoints = parts.views.current.fleet.endpoints.filter { it.pool == cell.pool }
-        return parts.runner.outcomes.take(endpoints.map { it.id })
+    /** Takes out how requests ended, which is told now and then, but a broken connection at once. */
+    private fun takeOutcomes(cell: Cell, memory: CellMemory, nowMs: Long): Map<EndpointId, OutcomeReport> {
+        val endpoints = parts.views.current.fleet.endpoints.filter { it.pool == cell.pool }.map { it.id }
+        val due = memory.outcomesDue(nowMs) || parts.runner.outcomes.anyBroken(endpoints)
+        return if (due) parts.runner.outcomes.take(endpoints) else emptyMap()
     }
 
     private fun onAnswer(
@@ -130,9 +133,7 @@
             request.cells.forEach { link.cells.getValue(it.cell).onDelivered(it.workspaces) }
         }
         link.token = response.token
-        if (response.configurationOffset > parts.views.current.configuration.offset) {
-            onPeerAhead(allocator)
-        }
+        onPeerOffset(allocator.id, response.configurationOffset)
         response.grants.forEach { grant ->
             cells.firstOrNull { it.cell == grant.cell }?.let { onGrant(it, link, grant, sentMs) }
         }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/LoanExchanger.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/LoanExchanger.kt
@@ -4,6 +4,7 @@
 import corneltrack.policy.ExchangeResponse
 import corneltrack.world.Cell
 import corneltrack.world.Instance
+import corneltrack.world.InstanceId
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.Executor
 
@@ -18,7 +19,6 @@
  * control thread.
  *
  * @param allocatorOf returns the router that allocates a cell.
- * @param local answers reports to this router itself.
  */
 internal class LoanExchanger(
     private val parts: RouterParts,
@@ -26,7 +26,7 @@
     private val duty: AllocatorDuty,
     private val control: Executor,
     private val allocatorOf: (Cell) -> Instance?,
-    private val local: (ExchangeRequest) -> ExchangeResponse,
+    private val onPeerOffset: (InstanceId, Long) -> Unit,
 ) {
     private data class Loan(val borrower: Cell, val lender: Cell)
 
@@ -55,12 +55,15 @@
     }
 
     private fun exchange(peer: Instance, loans: List<Loan>, nowMs: Long) {
+        val offset = parts.views.current.configuration.offset
         loans.groupBy { it.borrower }.forEach { (borrower, fromPeer) ->
             val reports = fromPeer.mapNotNull { duty.borrowReport(borrower, it.lender) }
                 .filter { it.workspaces.isNotEmpty() || it.running.isNotEmpty() }
             if (reports.isNotEmpty()) {
-                val request = ExchangeRequest(parts.settings.id, incarnation, cells = reports)
+                val request =
+                    ExchangeRequest(parts.settings.id, incarnation, configurationOffset = offset, cells = reports)
                 send(peer, request).thenAcceptAsync({ response ->
+                    response?.let { onPeerOffset(it.from, it.configurationOffset) }
                     response?.grants?.forEach { grant ->
                         duty.onLoan(borrower, grant, nowMs)
                         unmet = unmet || grant.unmet
@@ -72,7 +75,7 @@
 
     private fun send(peer: Instance, request: ExchangeRequest): CompletableFuture<ExchangeResponse?> =
         if (peer.id == parts.settings.id) {
-            CompletableFuture.completedFuture(local(request))
+            CompletableFuture.completedFuture(duty.exchange(request))
         } else {
             parts.peers.exchange(peer, request)
         }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/OutcomeLedger.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/OutcomeLedger.kt
@@ -14,6 +14,9 @@
         counts.merge(endpoint, one) { sum, next -> sum + next }
     }
 
+    /** Returns whether a break at one of [endpoints] has not been reported yet. */
+    fun anyBroken(endpoints: Collection<EndpointId>): Boolean = endpoints.any { (counts[it]?.broken ?: 0) > 0 }
+
     /** Takes the counts of [endpoints] out. */
     fun take(endpoints: Collection<EndpointId>): Map<EndpointId, OutcomeReport> =
         endpoints.mapNotNull { id -> counts.remove(id)?.let { id to it } }.toMap()
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/Router.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/Router.kt
@@ -74,8 +74,9 @@
     private val duty = AllocatorDuty(settings, incarnation, views, times, clock)
     private val upkeep = AllocatorUpkeep(parts, duty, loads, control)
     private val snapshots = SnapshotDuty(settings, views, log, reader, clock)
-    private val exchanger = Exchanger(parts, incarnation, times, control, duty::exchange, ::fetchConfiguration)
-    private val loans = LoanExchanger(parts, incarnation, duty, control, ::allocatorOf, duty::exchange)
+    private val configurations = PeerConfiguration(settings.id, views, peers, reader::silenceMs, clock)
+    private val exchanger = Exchanger(parts, incarnation, times, control, duty::exchange, configurations::onOffset)
+    private val loans = LoanExchanger(parts, incarnation, duty, control, ::allocatorOf, configurations::onOffset)
     private val keyed = KeyedRequests(
         parts,
         incarnation,
@@ -138,6 +139,7 @@
     private fun tick() {
         runCatching {
             exchanger.tick()
+            configurations.tick()
             loans.tick()
             upkeep.tick()
             snapshots.tick()
@@ -151,10 +153,6 @@
 
     private fun allocatorOf(cell: Cell): Instance? = exchanger.planner.allocatorOf(cell, views.current, clock())
 
-    private fun fetchConfiguration(peer: Instance) {
-        peers.configuration(peer).thenAccept { configuration -> configuration?.let { views.publish(it) } }
-    }
-
     private fun shareSuspicion(suspicion: Suspicion) {
         val body = wireJson.encodeToString(suspicion)
         val request = ControlRequest(HttpMethod.POST, SUSPICION_PATH, body, settings.secret)
@@ -199,6 +197,8 @@
             quarantined = crashes.quarantined(),
         )
 
+        override fun onPeerOffset(peer: InstanceId, offset: Long) = configurations.onOffset(peer, offset)
+
         override fun onPeerTraffic(peer: InstanceId, sent: Int, received: Int) {
             val from = views.current.instances[peer]?.dataCentre ?: settings.dataCentre
             metrics.onControlTraffic(from, sent.toLong() + ANSWER_HEAD_BYTES, received.toLong() + REQUEST_HEAD_BYTES)
--- a/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/CallerClient.kt
+++ b/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/CallerClient.kt
@@ -36,6 +36,7 @@
  * @property status the status, or 0 where no answer began.
  * @property outcome the router's statement on whether the request ran, or null.
  * @property complete whether the answer was whole.
+ * @property connected whether a connection was made at all.
  * @property firstByteNanos the time to the first byte of the body, in ns.
  */
 public data class CallResult(
@@ -44,6 +45,7 @@
     val body: String,
     val complete: Boolean,
     val firstByteNanos: Long,
+    val connected: Boolean = true,
 )
 
 /** Makes calls, each on a connection of its own. */
@@ -71,7 +73,7 @@
                 open.channel.set(connected.channel())
                 connected.channel().writeAndFlush(call.encode(address))
             } else {
-                result.complete(CallResult(0, null, "", complete = false, firstByteNanos = 0))
+                result.complete(CallResult(0, null, "", complete = false, firstByteNanos = 0, connected = false))
             }
         }
         return open
--- a/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/LoadDriver.kt
+++ b/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/LoadDriver.kt
@@ -24,14 +24,17 @@
     /** Refusals that say that the request may have run. */
     public val unknown: AtomicInteger = AtomicInteger()
 
-    /** Answers cut off, with or without a status. */
+    /** Calls that were sent and whose answer was cut off or never began. */
     public val cut: AtomicInteger = AtomicInteger()
 
+    /** Calls that found nobody listening. */
+    public val unreached: AtomicInteger = AtomicInteger()
+
     /** Answers that were not the caller's own. */
     public val foreign: AtomicInteger = AtomicInteger()
 
     override fun toString(): String =
-        "whole=$whole not-run=$notRun unknown=$unknown cut=$cut foreign=$foreign"
+        "whole=$whole not-run=$notRun unknown=$unknown cut=$cut foreign=$foreign unreached=$unreached"
 }
 
 /** Keeps workspaces backlogged with streamed requests and counts the tokens that each receives. */
@@ -89,6 +92,7 @@
     private fun count(result: CallResult, word: String, tokens: Int) {
         val counter = when {
             result.isOwnStream(word, tokens) -> counts.whole
+            !result.connected -> counts.unreached
             result.outcome == "not-run" -> counts.notRun
             result.outcome == "unknown" -> counts.unknown
             result.complete -> counts.foreign
--- a/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/Main.kt
+++ b/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/Main.kt
@@ -7,6 +7,6 @@
 @OptIn(ExperimentalCli::class)
 public fun main(arguments: Array<String>) {
     val parser = ArgParser("corneltrack-testbed")
-    parser.subcommands(QuickStart(), Measure())
+    parser.subcommands(QuickStart(), Measure(), Overhead(), Slopes())
     parser.parse(arguments)
 }
--- a/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/Measure.kt
+++ b/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/Measure.kt
@@ -100,7 +100,8 @@
         appendLine()
         appendLine(
             "| scenario | gap, tokens (first half) | utilisation | control B/s | cross-region control B/s | " +
-                "cross-region request B/s | control core % | RSS MiB | callers saw | over-limit starts cold, warm | notes |",
+                "cross-region request B/s | control core % | RSS MiB | callers saw | " +
+                "over-limit starts cold, warm | notes |",
         )
         appendLine("|---|---|---|---|---|---|---|---|---|---|---|")
         results.forEach { appendLine(it.row()) }
--- /dev/null
+++ b/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/Overhead.kt
@@ -0,0 +1,112 @@
+package corneltrack.testbed
+
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.cli.default
+import org.HdrHistogram.ConcurrentHistogram
+import org.HdrHistogram.Histogram
+import java.util.concurrent.atomic.AtomicLong
+
+private const val STREAMS = 200
+private const val ROUNDS = 8
+private const val WARM_UP_ROUNDS = 6
+private const val TOKENS = 100
+private const val TOKEN_MS = 20L
+private const val FIRST_TOKEN_MS = 50L
+private const val DIGITS = 3
+private const val MEDIAN = 50.0
+private const val TAIL = 99.0
+private const val NANOS_PER_MS = 1_000_000.0
+private const val STAGGER_MS = 2L
+
+/** Measures what the router adds to the first token and between tokens, side by side with direct calls. */
+@OptIn(ExperimentalCli::class)
+internal class Overhead : Subcommand("overhead", "Measure what a router adds against a direct call") {
+    private val streams by option(ArgType.Int, "streams", description = "Concurrent streams").default(STREAMS)
+    private val rounds by option(ArgType.Int, "rounds", description = "Rounds of each kind").default(ROUNDS)
+
+    override fun execute() {
+        val plan = fleetPlan {
+            dataCentre("north", routers = 1, engines = 1)
+            engine = EngineBehaviour(
+                batch = streams * 2,
+                coldBatch = streams * 2,
+                coldMs = 1,
+                firstTokenMs = FIRST_TOKEN_MS,
+                tokenMs = TOKEN_MS,
+            )
+            workspaces = 1
+        }
+        TestFleet(plan).use { fleet ->
+            fleet.start()
+            val direct = Latencies()
+            val routed = Latencies()
+            repeat(WARM_UP_ROUNDS) {
+                round(fleet, fleet.engines.values.first().address, Latencies())
+                round(fleet, fleet.routers.first().callers, Latencies())
+            }
+            val probe = FleetProbe(fleet, LoadDriver(CallerClient(fleet.group), emptyList()) { 0 })
+            val before = probe.totals().values.first()
+            repeat(rounds) {
+                round(fleet, fleet.engines.values.first().address, direct)
+                round(fleet, fleet.routers.first().callers, routed)
+            }
+            val after = probe.totals().values.first()
+            probe.close()
+            report(direct, routed, after.totalSeconds - before.totalSeconds, after.residentBytes)
+        }
+    }
+
+    private fun round(fleet: TestFleet, address: String, latencies: Latencies) {
+        val client = CallerClient(fleet.group)
+        val workspace = fleet.plan.workspaces.first()
+        val calls = (1..streams).map { number ->
+            val last = AtomicLong()
+            Thread.sleep(STAGGER_MS)
+            val began = System.nanoTime()
+            client.call(address, chat(workspace, "s$number", TOKENS)) {
+                val now = System.nanoTime()
+                val previous = last.getAndSet(now)
+                if (previous == 0L) {
+                    latencies.first.recordValue(
+                        now - began
+                    )
+                } else {
+                    latencies.gap.recordValue(now - previous)
+                }
+            }.result
+        }
+        latencies.whole.addAndGet(calls.count { it.join().complete }.toLong())
+    }
+
+    private fun report(direct: Latencies, routed: Latencies, seconds: Double, residentBytes: Long) {
+        println("| $streams concurrent streams | direct | through a router | added |")
+        println("|---|---|---|---|")
+        println(row("first token p50, ms", direct.first, routed.first, MEDIAN))
+        println(row("first token p99, ms", direct.first, routed.first, TAIL))
+        println(row("between tokens p50, ms", direct.gap, routed.gap, MEDIAN))
+        println(row("between tokens p99, ms", direct.gap, routed.gap, TAIL))
+        println("| whole answers | ${direct.whole} | ${routed.whole} | |")
+        val tokens = routed.whole.get() * TOKENS
+        println("| router processor time | | %.2f s | %.1f µs a token |".format(seconds, seconds / tokens * MICROS))
+        println("| tokens a second and core | | %.0f | |".format(tokens / seconds))
+        println("| streams a second and core | | %.0f | |".format(routed.whole.get() / seconds))
+        println("| resident memory | | %.0f MiB | |".format(residentBytes / MEBIBYTE))
+    }
+
+    private fun row(name: String, direct: Histogram, routed: Histogram, percentile: Double): String {
+        val one = direct.getValueAtPercentile(percentile) / NANOS_PER_MS
+        val other = routed.getValueAtPercentile(percentile) / NANOS_PER_MS
+        return "| $name | %.2f | %.2f | %.2f |".format(one, other, other - one)
+    }
+
+    private class Latencies {
+        val first: Histogram = ConcurrentHistogram(DIGITS)
+        val gap: Histogram = ConcurrentHistogram(DIGITS)
+        val whole = AtomicLong()
+    }
+}
+
+private const val MICROS = 1_000_000
+private const val MEBIBYTE = 1_048_576.0
--- a/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/Scenario.kt
+++ b/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/Scenario.kt
@@ -84,10 +84,10 @@
     val target = Target(TargetKind.DATA_CENTRE, "oita")
     Thread.sleep(lengthMs / QUARTERS)
     val offset = fleet.change(TakeOut(target))
+    probe.inService = { !it.startsWith("oita") }
     val inForceMs = timeInForce(fleet, offset)
     Thread.sleep(SETTLE_MS - inForceMs.coerceAtMost(SETTLE_MS))
     val before = started(fleet, DataCentreId("oita"))
-    probe.inService = { !it.startsWith("oita") }
     Thread.sleep(lengthMs / QUARTERS)
     val late = started(fleet, DataCentreId("oita")) - before
     val back = timeInForce(fleet, fleet.change(BringBack(target)))
--- /dev/null
+++ b/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/Slopes.kt
@@ -0,0 +1,143 @@
+package corneltrack.testbed
+
+import corneltrack.policy.CellAllocator
+import corneltrack.policy.CellReport
+import corneltrack.policy.CellView
+import corneltrack.policy.Demand
+import corneltrack.policy.EndpointReport
+import corneltrack.policy.LeaseTimes
+import corneltrack.policy.WorkspaceReport
+import corneltrack.policy.divide
+import corneltrack.wire.wireJson
+import corneltrack.world.Cell
+import corneltrack.world.ChangeRecord
+import corneltrack.world.Configuration
+import corneltrack.world.DataCentreId
+import corneltrack.world.EndpointId
+import corneltrack.world.InstanceId
+import corneltrack.world.Pool
+import corneltrack.world.PoolId
+import corneltrack.world.PoolKind
+import corneltrack.world.PutWorkspace
+import corneltrack.world.Terms
+import corneltrack.world.Workspace
+import corneltrack.world.WorkspaceId
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.serialization.encodeToString
+
+private const val RUNS = 30
+private const val WARM_UP_RUNS = 200
+private const val NANOS_PER_MICRO = 1_000.0
+private const val KIBIBYTE = 1_024.0
+private const val HASH_LENGTH = 64
+private const val SLOTS_PER_ENDPOINT = 160
+private const val WAITING = 20
+
+/** The size of one cell: its routers, its backlogged workspaces, its endpoints. */
+private data class CellSize(val name: String, val routers: Int, val workspaces: Int, val endpoints: Int)
+
+private val CELL_SIZES = listOf(
+    CellSize("1x", routers = 3, workspaces = TODAY, endpoints = 4),
+    CellSize("4x", routers = 12, workspaces = FOURFOLD, endpoints = 4),
+    CellSize("16x", routers = 35, workspaces = SIXTEENFOLD, endpoints = 5),
+    CellSize("full", routers = 35, workspaces = FULL_BACKLOGGED, endpoints = 5),
+)
+
+private const val TODAY = 16
+private const val FOURFOLD = 64
+private const val SIXTEENFOLD = 256
+private const val FULL_BACKLOGGED = 1_100
+private const val FULL = 11_000
+private const val OLDEST_WAIT_MS = 1_500L
+private const val SERVED_STEP = 1_000L
+private val WORKSPACE_COUNTS = listOf(TODAY, FOURFOLD, SIXTEENFOLD, FULL_BACKLOGGED, FULL)
+
+/** Times the decisions whose cost grows with the fleet, and weighs the state and messages behind them. */
+@OptIn(ExperimentalCli::class)
+internal class Slopes : Subcommand("slopes", "Time decisions and weigh state at 1x, 4x, 16x and full size") {
+    override fun execute() {
+        println("| cell | routers | backlogged workspaces | slots | divide, µs | one exchange, µs | report, bytes |")
+        println("|---|---|---|---|---|---|---|")
+        CELL_SIZES.forEach { println(cellRow(it)) }
+        println()
+        println("| workspaces | apply one change, µs | snapshot, KiB |")
+        println("|---|---|---|")
+        WORKSPACE_COUNTS.forEach { println(configurationRow(it)) }
+    }
+
+    private fun cellRow(size: CellSize): String {
+        val demands = (0 until size.routers).flatMap { router ->
+            (0 until size.workspaces).filter { (it + router) % size.routers < 2 }
+                .map { Demand(WorkspaceId("w$it"), InstanceId("r$router"), WAITING, 1) }
+        }
+        val slots = size.endpoints * SLOTS_PER_ENDPOINT
+        val divideMicros = medianMicros { divide(slots, demands, { it.value.length.toDouble() }, { Terms() }) }
+        val cell = ScriptedCell(size)
+        val exchangeMicros = medianMicros { cell.exchangeOnce() }
+        val bytes = wireJson.encodeToString(cell.report(0)).length
+        return "| ${size.name} | ${size.routers} | ${size.workspaces} | $slots | %.0f | %.0f | $bytes |"
+            .format(divideMicros, exchangeMicros)
+    }
+
+    private fun configurationRow(count: Int): String {
+        val filled = (0 until count).fold(
+            Configuration()
+        ) { state, number -> state.apply(number.toLong(), put(number)) }
+        val micros = medianMicros { filled.apply(count.toLong(), put(count)) }
+        val size = wireJson.encodeToString(filled).length / KIBIBYTE
+        return "| $count | %.0f | %.0f |".format(micros, size)
+    }
+
+    private fun put(number: Int): ChangeRecord {
+        val hash = number.toString().padStart(HASH_LENGTH, '0')
+        val workspace = Workspace(WorkspaceId("workspace-$number"), setOf(hash))
+        return ChangeRecord("change-$number", Long.MAX_VALUE, "operator", "slopes", 0, PutWorkspace(workspace))
+    }
+}
+
+/** Drives one allocator with reports of all its routers in turn. */
+private class ScriptedCell(private val size: CellSize) {
+    private val cell = Cell(PoolId("p"), DataCentreId("d"))
+    private val pool = Pool(
+        PoolId("p"),
+        PoolKind.MODEL,
+        coldLimit = SLOTS_PER_ENDPOINT,
+        endpointLimit = SLOTS_PER_ENDPOINT,
+    )
+    private val home = (0 until size.routers).mapTo(HashSet()) { InstanceId("r$it") }
+    private val endpoints = (0 until size.endpoints).mapTo(HashSet()) { EndpointId("endpoint-$it") }
+    private val allocator = CellAllocator(cell, LeaseTimes()) { Terms() }
+    private val acknowledged = HashMap<Int, Long>()
+    private var turn = 0
+    private var nowMs = 0L
+
+    /** Lets the next router report; a division is due with each, as the time moves on by one tick. */
+    fun exchangeOnce() {
+        val router = turn++ % size.routers
+        nowMs += 1 + LeaseTimes().leaseMs / size.routers / 2
+        allocator.onView(CellView(pool, home, endpoints, endpoints), nowMs)
+        endpoints.first().let { allocator.onEndpointReport(it, EndpointReport("one", 0, cold = false, nowMs), nowMs) }
+        val grant = allocator.exchange(InstanceId("r$router"), "one", nowMs - 1, report(router), nowMs)
+        acknowledged[router] = grant.sequence
+    }
+
+    fun report(router: Int): CellReport = CellReport(
+        cell = cell,
+        supports = true,
+        acknowledged = acknowledged[router] ?: 0,
+        running = endpoints.associateWith { 1 },
+        workspaces = (0 until size.workspaces).filter { (it + router) % size.routers < 2 }
+            .map { WorkspaceReport(WorkspaceId("workspace-$it"), WAITING, 1, turn * SERVED_STEP, OLDEST_WAIT_MS) },
+    )
+}
+
+private fun medianMicros(action: () -> Unit): Double {
+    repeat(WARM_UP_RUNS) { action() }
+    val times = (1..RUNS).map {
+        val began = System.nanoTime()
+        action()
+        System.nanoTime() - began
+    }
+    return times.sorted()[RUNS / 2] / NANOS_PER_MICRO
+}
--- /dev/null
+++ b/corneltrack-testbed/src/test/kotlin/corneltrack/testbed/FailureTest.kt
@@ -0,0 +1,160 @@
+package corneltrack.testbed
+
+import corneltrack.world.EndpointId
+import corneltrack.world.MemberState
+import corneltrack.world.TakeOut
+import corneltrack.world.Target
+import corneltrack.world.TargetKind
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class FailureTest {
+    private val fleet = smallFleet { engine = EngineBehaviour(batch = 4, tokenMs = 10, coldMs = 1_000) }
+    private val client = CallerClient(fleet.group)
+
+    @AfterTest
+    fun stop() = fleet.close()
+
+    @Test
+    fun `a request that crashes engines is quarantined after two and no innocent one is`() {
+        val headers = mapOf("x-corneltrack-deadline-ms" to "20000")
+        val poison = chat(fleet.workspace, "poison $CRASH_MARK", 5, headers = headers)
+        val innocents = fleet.routers.map { router -> "beside-${router.id}" to router }
+            .map { (word, router) ->
+                Triple(
+                    word,
+                    router,
+                    client.call(router.callers, chat(fleet.workspace, word, 50))
+                )
+            }
+        val first = client.call(fleet.router("north").callers, poison).join()
+        assertTrue(first.outcome == "unknown" || !first.complete, "$first")
+        await("a repeat to be refused") {
+            client.call(fleet.router("south").callers, poison).join().let {
+                it.status == 422 && "quarantined" in it.body
+            }
+        }
+        assertEquals(
+            2,
+            fleet.engines.values.sumOf { it.crashes.get() } - fleet.engines.values.sumOf { it.overruns.get() }
+        )
+        innocents.forEach { (word, router, call) ->
+            call.join()
+            val again = client.call(router.callers, chat(fleet.workspace, word, 50)).join()
+            assertTrue(again.isOwnStream(word, 50), "$word got $again")
+        }
+    }
+
+    @Test
+    fun `connections that go silent while new ones work lose no request`() {
+        val warm = client.call(fleet.router("north").callers, chat(fleet.workspace, "warm", 3)).join()
+        assertTrue(warm.isOwnStream("warm", 3))
+        fleet.proxies.matching { it.from == fleet.router("north").id }.forEach { it.silenceOpenConnections() }
+        val result = client.call(fleet.router("north").callers, chat(fleet.workspace, "next", 3)).join()
+        assertTrue(result.isOwnStream("next", 3), "$result")
+    }
+
+    @Test
+    fun `an engine that breaks off in the middle of an answer never makes it look whole`() {
+        val engine = fleet.engines.getValue(EndpointId("north-engine-1"))
+        val call = client.call(fleet.router("north").callers, chat(fleet.workspace, "long", 500))
+        await("the answer to begin") { engine.runningNow == 1 }
+        engine.crash()
+        val result = call.join()
+        val honest = result.isOwnStream("long", 500) || !result.complete || result.outcome == "unknown"
+        assertTrue(honest && ("[DONE]" !in result.body || result.complete), "$result")
+    }
+
+    @Test
+    fun `an endpoint that leaves gets no new work after three seconds`() {
+        val id = EndpointId("middle-engine-1")
+        val driver = busy()
+        fleet.list.update { list ->
+            list.copy(endpoints = list.endpoints.map { if (it.id == id) it.copy(state = MemberState.LEAVING) else it })
+        }
+        expectNoNewWork(id)
+        driver.stop()
+    }
+
+    @Test
+    fun `a data centre taken out gets no new work after three seconds, with the log down right after`() {
+        val id = EndpointId("middle-engine-1")
+        val driver = busy()
+        val offset = fleet.change(TakeOut(Target(TargetKind.DATA_CENTRE, "middle")))
+        await("one router to know") { fleet.routers.any { (fleet.status(it)?.configurationOffset ?: -1) >= offset } }
+        fleet.log.down = true
+        expectNoNewWork(id)
+        await("all routers to know") {
+            fleet.routers.all { (fleet.status(it)?.configurationOffset ?: -1) >= offset }
+        }
+        driver.stop()
+    }
+
+    @Test
+    fun `a router cut off from everything refuses truthfully and serves again when it rejoins`() {
+        val router = fleet.router("south")
+        val others = fleet.routers.map { it.id }.filter { it != router.id }.toSet()
+        val endpoints = (fleet.engines.keys + fleet.services.keys).map { it.value }.toSet()
+        fleet.proxies.between(setOf(router.id), others + endpoints + setOf("log", "list"), LinkFault.SILENT)
+        val headers = mapOf("x-corneltrack-deadline-ms" to "4000")
+        val cut = client.call(router.callers, chat(fleet.workspace, "cut", 3, headers = headers)).join()
+        assertTrue(cut.outcome in setOf("not-run", "unknown"), "$cut")
+        fleet.proxies.between(setOf(router.id), others + endpoints + setOf("log", "list"), LinkFault.NONE)
+        await("the router to serve again") {
+            client.call(router.callers, chat(fleet.workspace, "back", 3)).join().isOwnStream("back", 3)
+        }
+    }
+
+    @Test
+    fun `a router that was paused past its lease starts no more than engines bear`() {
+        val driver = busy()
+        repeat(3) {
+            val router = fleet.routers[it]
+            router.pause()
+            Thread.sleep(PAUSE_MS)
+            router.resume()
+        }
+        val before = driver.counts.whole.get()
+        await("work to go on") { driver.counts.whole.get() > before + 50 }
+        driver.stop()
+        assertEquals(0, fleet.engines.values.sumOf { it.overruns.get() + it.refusals.get() })
+    }
+
+    @Test
+    fun `a restarted engine is not given more than it bears in cold start`() {
+        val driver = busy()
+        val engine = fleet.engines.getValue(EndpointId("north-engine-1"))
+        engine.crash()
+        await("the engine to be fully used again") { engine.runningNow == 4 && engine.crashes.get() >= 1 }
+        driver.stop()
+        assertEquals(0, fleet.engines.values.sumOf { it.overruns.get() })
+    }
+
+    /** Keeps all engines busy and waits until they are warm. */
+    private fun busy(): LoadDriver {
+        val driver = LoadDriver(
+            client,
+            fleet.plan.workspaces.flatMap { workspace -> fleet.routers.map { Backlog(workspace, it.callers, 3) } },
+        ) { 20 }
+        driver.start()
+        await("all engines to be fully used") { fleet.engines.values.all { it.runningNow >= 3 } }
+        return driver
+    }
+
+    private fun expectNoNewWork(id: EndpointId) {
+        val engine = fleet.engines.getValue(id)
+        Thread.sleep(SETTLE_MS)
+        val before = engine.started.get()
+        val others = fleet.engines.filterKeys { it != id }.values
+        val target = others.sumOf { it.started.get() } + 100
+        await("the others to work on") { others.sumOf { it.started.get() } >= target }
+        assertEquals(before, engine.started.get(), "new work on $id")
+    }
+
+    private companion object {
+        const val SETTLE_MS = 3_000L
+        const val PAUSE_MS = 5_000L
+    }
+}
--- /dev/null
+++ b/corneltrack-world/src/test/kotlin/corneltrack/world/ConfigurationFoldTest.kt
@@ -0,0 +1,100 @@
+package corneltrack.world
+
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertIs
+
+class ConfigurationFoldTest {
+    private val target = Target(TargetKind.DATA_CENTRE, "oita")
+
+    @Test
+    fun `of two changes based on the same version every router accepts the first`() {
+        val first = record("a", SetDefault(Terms(weight = 2.0)))
+        val second = record("b", SetDefault(Terms(weight = 3.0)))
+        val state = Configuration().apply(0, first).apply(1, second)
+        assertEquals(2.0, state.agreement.default.weight)
+        assertEquals(listOf(Verdict.ACCEPTED, Verdict.LOST_RACE), state.history.map { it.verdict })
+    }
+
+    @Test
+    fun `changes of different subjects do not conflict`() {
+        val state = Configuration().apply(0, record("a", SetDefault(Terms()))).apply(1, record("b", TakeOut(target)))
+        assertEquals(setOf(target), state.takenOut)
+        assertEquals(1, state.version)
+    }
+
+    @Test
+    fun `a repeated append takes effect once`() {
+        val change = record("a", TakeOut(target))
+        val state = Configuration().apply(0, change).apply(1, record("b", BringBack(target), basedOn = 0))
+        assertEquals(emptySet(), state.apply(2, change).takenOut)
+    }
+
+    @Test
+    fun `a bad value is rejected with every fault and changes nothing`() {
+        val bad = AgreementException(WorkspaceId("stranger"), Terms(weight = -1.0, cap = 7.0), "")
+        val state = Configuration().apply(0, record("a", SetException(bad)))
+        assertEquals(Verdict.INVALID, state.history.single().verdict)
+        val places = state.history.single().findings.map { it.place }
+        assertEquals(
+            listOf("exception.terms.weight", "exception.terms.cap", "exception.reason", "exception.workspace"),
+            places,
+        )
+        assertEquals(-1, state.version)
+    }
+
+    @Test
+    fun `the state never goes back, whatever order pages arrive in`() {
+        val random = Random(SEED)
+        val entries = randomEntries(random)
+        val expected = fold(Configuration(), entries, oldest = 0)
+        repeat(100) {
+            var state = Configuration()
+            while (state.offset < entries.last().offset) {
+                val from = random.nextInt((state.offset + 2).toInt())
+                val page = entries.drop(from).take(random.nextInt(1, 20))
+                val next = fold(state, page, oldest = 0)
+                assertEquals(maxOf(state.offset, page.last().offset), next.offset, "seed $SEED")
+                state = next
+            }
+            assertEquals(expected, state, "seed $SEED")
+        }
+    }
+
+    @Test
+    fun `a router without memory reaches the same state from a snapshot after retention`() {
+        val entries = randomEntries(Random(SEED))
+        val expected = fold(Configuration(), entries, oldest = 0)
+        val covered = fold(Configuration(), entries.take(30), oldest = 0)
+        val late = StreamEntry(entries.last().offset + 1, SnapshotRecord(covered))
+        val kept = entries.drop(28) + late
+        val state = fold(Configuration(), kept, oldest = 28)
+        assertEquals(expected.copy(offset = late.offset), state)
+    }
+
+    @Test
+    fun `a gap that no snapshot covers is told and changes nothing`() {
+        val entries = randomEntries(Random(SEED)).drop(10)
+        assertEquals(FoldResult.Gap(-1, 10), Configuration().fold(entries, oldest = 10))
+    }
+
+    private fun fold(state: Configuration, entries: List<StreamEntry>, oldest: Long): Configuration =
+        assertIs<FoldResult.Folded>(state.fold(entries, oldest)).configuration
+
+    private fun randomEntries(random: Random): List<StreamEntry> = (0L until 60).map { offset ->
+        val change = when (random.nextInt(3)) {
+            0 -> SetDefault(Terms(weight = random.nextInt(1, 9).toDouble()))
+            1 -> TakeOut(Target(TargetKind.ENDPOINT, "e${random.nextInt(4)}"))
+            else -> BringBack(Target(TargetKind.ENDPOINT, "e${random.nextInt(4)}"))
+        }
+        StreamEntry(offset, record("c$offset", change, basedOn = random.nextLong(-1, offset + 1)))
+    }
+
+    private fun record(id: String, change: Change, basedOn: Long = -1) =
+        ChangeRecord(id, basedOn, "operator", "a reason", 0, change)
+
+    private companion object {
+        const val SEED = 11
+    }
+}
