Wait for the last byte of each answer before leaving, and refuse upward paths

Cause: a reading of the code. A drained router could leave while the last bytes of an answer, or a repeat that waits for its first, were still under way; and '/orders/%2E./load' reached paths beside a pool's route. The cost metric was never counted.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/Admission.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/Admission.kt
@@ -18,6 +18,7 @@
 private const val DEADLINE_HEADER = "x-corneltrack-deadline-ms"
 private const val MAXIMUM_DEADLINE_MS = 3_600_000L
 private const val BEARER = "Bearer "
+private val UP_SEGMENT = Regex("(^|/)(\\.|%2e){2}(/|$)", RegexOption.IGNORE_CASE)
 private val SAFE_ID = Regex("[A-Za-z0-9_.-]{1,64}")
 
 /** What admission found in a request. */
@@ -52,6 +53,7 @@
     val method = request.head.method()
     val service = view.serviceAt(path)
     return when {
+        UP_SEGMENT.containsMatchIn(path) -> Admission.Refused(UNKNOWN_PATH)
         path == CHAT_PATH && method == HttpMethod.POST -> admitChat(request, view, workspace)
         path == MODELS_PATH && method == HttpMethod.GET ->
             Admission.Models(view.configuration.pools.values.filter { it.kind == PoolKind.MODEL })
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/CallerAnswer.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/CallerAnswer.kt
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.handler.codec.http.DefaultFullHttpResponse
@@ -36,10 +37,16 @@
     val param: String? = null,
 )
 
-/** Writes one answer to a caller. Used on the connection's event loop only. */
+/**
+ * Writes one answer to a caller. Used on the connection's event loop only.
+ *
+ * @param onWritten runs once when the last byte has left or the caller is gone.
+ * @param onAnswered runs when the answer has ended and the next request may be read.
+ */
 internal class CallerAnswer(
     private val context: ChannelHandlerContext,
     private val keepAlive: Boolean,
+    private val onWritten: () -> Unit = {},
     private val onAnswered: () -> Unit,
 ) : AnswerSink {
     /** Cancels the request when the caller leaves. */
@@ -70,11 +77,7 @@
     }
 
     override fun end() {
-        val written = context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
-        finish()
-        if (!keepAlive) {
-            written.addListener(ChannelFutureListener.CLOSE)
-        }
+        finish(context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT))
     }
 
     override fun refuse(refusal: Refusal) {
@@ -89,7 +92,10 @@
     fun answer(body: String) = write(full(HttpResponseStatus.OK, body))
 
     override fun abort(reason: String) {
-        ended = true
+        if (!ended) {
+            ended = true
+            onWritten()
+        }
         context.close()
     }
 
@@ -97,6 +103,7 @@
     fun onCallerGone() {
         if (!ended) {
             ended = true
+            onWritten()
             onGone()
         }
     }
@@ -118,15 +125,18 @@
             response.release()
             return
         }
-        val written = context.writeAndFlush(response)
-        finish()
-        if (!keepAlive) {
-            written.addListener(ChannelFutureListener.CLOSE)
-        }
+        finish(context.writeAndFlush(response))
     }
 
-    private fun finish() {
+    private fun finish(written: ChannelFuture) {
+        val gone = ended
         ended = true
+        if (!gone) {
+            written.addListener { onWritten() }
+        }
+        if (!keepAlive) {
+            written.addListener(ChannelFutureListener.CLOSE)
+        }
         onAnswered()
     }
 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/CallerConnection.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/CallerConnection.kt
@@ -17,6 +17,7 @@
 import io.netty.util.ReferenceCountUtil
 import java.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
 
 private const val BODY_TIMEOUT_MS = 30_000L
 private const val READER_TIMEOUT_MS = 60_000L
@@ -33,9 +34,11 @@
  * A further request that arrives during an answer is kept back until the answer has ended.
  *
  * @param bodyLimit the largest body, in bytes.
+ * @param open counts the requests whose answer has not left in full.
  */
 internal class CallerConnection(
     private val bodyLimit: Int,
+    private val open: AtomicInteger,
     private val handle: RequestHandler,
 ) : ChannelInboundHandlerAdapter() {
     private var head: HttpRequest? = null
@@ -120,7 +123,8 @@
         head = null
         body = null
         val keepAlive = HttpUtil.isKeepAlive(request.head)
-        val current = CallerAnswer(context, keepAlive) { onAnswered(context) }
+        open.incrementAndGet()
+        val current = CallerAnswer(context, keepAlive, open::decrementAndGet) { onAnswered(context) }
         answer = current
         val cancel = handle(request, context.channel().eventLoop() as EventLoop, current)
         current.onGone = cancel
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/RequestRunner.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/RequestRunner.kt
@@ -130,6 +130,7 @@
             request.attempt = null
             val elapsedMs = clock() - startedMs
             meter.onEnd(elapsedMs)
+            metrics.onServed(request, meter.total)
             outcomes.onEnd(endpoint.id, end, firstByteMs)
             if (end is AttemptEnd.Broken) {
                 connections.discard(endpoint.id)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/Router.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/Router.kt
@@ -28,6 +28,7 @@
 import java.util.concurrent.Executors
 import java.util.concurrent.ScheduledExecutorService
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
 
 private const val TICK_MS = 40L
 private const val EXPIRE_EVERY_TICKS = 3
@@ -85,7 +86,10 @@
     )
     private val gateway = Gateway(views, settings, runner, keyed, clock)
     private val surface = ControlSurface(Source(), duty, views, keyed.ledger, crashes, control)
-    private val callers = CallerServer(workers) { CallerConnection(settings.limits.bodyBytes, gateway::handle) }
+    private val openAnswers = AtomicInteger()
+    private val callers = CallerServer(workers) {
+        CallerConnection(settings.limits.bodyBytes, openAnswers, gateway::handle)
+    }
     private val controlServer = ControlServer(controlLoops, settings.secret, OPEN_PATHS, surface::handle)
     private var ticks = 0L
 
@@ -119,11 +123,11 @@
         gateway.drain()
         control.execute { duty.release() }
         val beganMs = clock()
-        while (clock() - beganMs < HANDOVER_MS || runner.openRequests > 0) {
+        while (clock() - beganMs < HANDOVER_MS || !isIdle()) {
             if (clock() - beganMs > settings.limits.drainMs) break
             Thread.sleep(DRAIN_POLL_MS)
         }
-        val complete = runner.openRequests == 0
+        val complete = isIdle()
         logger.event("router_drained") { field("complete", complete) }
         return complete
     }
@@ -136,6 +140,8 @@
         controlLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync()
     }
 
+    private fun isIdle(): Boolean = runner.openRequests == 0 && openAnswers.get() == 0
+
     private fun tick() {
         runCatching {
             exchanger.tick()
--- a/corneltrack-testbed/src/test/kotlin/corneltrack/testbed/WholePathTest.kt
+++ b/corneltrack-testbed/src/test/kotlin/corneltrack/testbed/WholePathTest.kt
@@ -60,6 +60,9 @@
             val badModel = Call(HttpMethod.POST, "/v1/chat/completions", "{\"model\":\"none\"}", key)
             assertEquals(404, client.call(router, badModel).join().status)
 
+            val upwards = Call(HttpMethod.GET, "/orders/%2E./load", "", key)
+            assertEquals(404, client.call(router, upwards).join().status)
+
             val large = Call(HttpMethod.POST, "/v1/chat/completions", "x".repeat(2_000_000), key)
             assertEquals(413, client.call(router, large).join().status)
         }
