Let a restarted allocator wait out its former leases

Ruled out: support times and shares (all supporters were distinct in the traces). Change: nothing is lent for one support period after the start of an incarnation, and routers keep their lease when a grant lends for no time; a late load is compared with the least of the last three counts. A router that the log has told nothing asks its peers.

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/CellAllocator.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/CellAllocator.kt
@@ -39,11 +39,14 @@
  * Slots are leased: what a router may use is bounded in time, and a slot moves to another router only when its holder
  * has acknowledged the recall and finished the request in it, or its lease has lapsed. Not thread-safe.
  *
+ * @param sinceMs when the router's incarnation began. Nothing is lent for one support period after it, in which leases
+ * of a former incarnation may still be alive.
  * @param terms the agreement's terms of a workspace.
  */
 public class CellAllocator(
     private val cell: Cell,
     private val times: LeaseTimes,
+    sinceMs: Long,
     private val terms: (WorkspaceId) -> Terms,
 ) {
     private val supporters = Supporters(times)
@@ -52,6 +55,7 @@
     private val borrowed = BorrowedSlots()
     private val loanSequences = HashMap<Cell, Long>()
     private val capacity = CellCapacity(times, supporters, holders, book, borrowed)
+    private val lendsFromMs = sinceMs + times.supportMs
     private val service = VirtualService { terms(it).weight }
     private var sequence = 0L
     private var dividedMs = Long.MIN_VALUE / 2
@@ -167,7 +171,7 @@
     }
 
     private fun grant(holder: Holder, nowMs: Long): CellGrant {
-        val lease = capacity.leaseMs(holder, nowMs)
+        val lease = if (nowMs < lendsFromMs) 0 else capacity.leaseMs(holder, nowMs)
         val target = if (lease > 0) capacity.target(holder, division.spare, nowMs) else 0
         val slots = capacity.choose(holder, target, nowMs)
         sequence++
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/EndpointBook.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/EndpointBook.kt
@@ -8,6 +8,7 @@
 /** Keeps, for one cell, each endpoint's limit and the load that no known router accounts for. Not thread-safe. */
 internal class EndpointBook(private val times: LeaseTimes) {
     private class Entry(val pool: Pool, val limit: EndpointLimit) {
+        val accounted = ArrayDeque<Int>()
         val unaccounted = ArrayDeque<Int>()
         var open = true
     }
@@ -48,12 +49,16 @@
         return true
     }
 
-    /** Takes in what an endpoint reported, of which [accounted] requests belong to known routers. */
+    /**
+     * Takes in what an endpoint reported, while [accounted] requests there belong to known routers.
+     *
+     * The report lags behind, so what counts as known is the least of the last few moments.
+     */
     fun onReport(id: EndpointId, report: EndpointReport, accounted: Int) {
         val entry = entries[id] ?: return
         entry.limit.onReport(report)
-        entry.unaccounted.addLast(maxOf(0, report.running - accounted))
-        if (entry.unaccounted.size > REPORT_WINDOW) entry.unaccounted.removeFirst()
+        entry.accounted.addRecent(accounted)
+        entry.unaccounted.addRecent(maxOf(0, report.running - entry.accounted.min()))
     }
 
     /** Returns the load on [id] that persists through recent reports without a known router behind it. */
@@ -65,3 +70,10 @@
 
     fun coldCount(): Int = entries.values.count { it.open && it.limit.cold }
 }
+
+private fun ArrayDeque<Int>.addRecent(value: Int) {
+    addLast(value)
+    if (size > REPORT_WINDOW) {
+        removeFirst()
+    }
+}
--- a/corneltrack-policy/src/test/kotlin/corneltrack/policy/AllocationScriptTest.kt
+++ b/corneltrack-policy/src/test/kotlin/corneltrack/policy/AllocationScriptTest.kt
@@ -17,7 +17,7 @@
 class AllocationScriptTest {
     @Test
     fun `no endpoint ever runs more than its limit, for any partition, pause, restart and lag of the list`() {
-        repeat(SEEDS) { seed -> Script(seed, routers = 3 + seed % 4).run() }
+        ((0 until SEEDS) + PAST_FAILURES).forEach { seed -> Script(seed, routers = 3 + seed % 4).run() }
     }
 
     @Test
@@ -31,6 +31,9 @@
 
     private companion object {
         const val SEEDS = 60
+
+        /** Seeds that found an overrun once: restarted allocators, and loads compared with newer counts. */
+        val PAST_FAILURES = listOf(170, 514, 2_077)
         const val LIMIT = 6
         const val ENDPOINTS = 2
         const val STEPS = 1_500
@@ -48,7 +51,7 @@
 
     private class Node(val id: InstanceId, startMs: Long, val incarnation: Int) {
         val support = Support(times, startMs)
-        val allocator = CellAllocator(cell, times) { Terms() }
+        val allocator = CellAllocator(cell, times, startMs) { Terms() }
         val links = HashMap<InstanceId, Link>()
         val running = mutableListOf<Running>()
         var slots = emptyMap<EndpointId, Int>()
@@ -141,8 +144,8 @@
                 link.incarnation = server.incarnation
                 val current = grant.sequence > link.acknowledged
                 link.acknowledged = if (current) grant.sequence else 0
-                if (current && node.support.current == target) {
-                    node.slots = grant.slots
+                if (current && grant.leaseMs > 0 && node.support.current == target) {
+                    if (grant.leaseMs > 0) node.slots = grant.slots
                     node.leaseUntilMs = sentMs + grant.leaseMs
                 }
             }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/AllocatorDuty.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/AllocatorDuty.kt
@@ -32,6 +32,7 @@
 ) {
     private class Duty(val allocator: CellAllocator, var usedMs: Long)
 
+    private val startMs = clock()
     private val duties = HashMap<Cell, Duty>()
     private var releaseAtMs: Long? = null
 
@@ -104,7 +105,7 @@
 
     private fun begin(cell: Cell, nowMs: Long): Duty {
         logger.event("allocator_began") { field("cell", cell) }
-        val allocator = CellAllocator(cell, times) { views.current.configuration.agreement.termsFor(it) }
+        val allocator = CellAllocator(cell, times, startMs) { views.current.configuration.agreement.termsFor(it) }
         return Duty(allocator, nowMs)
     }
 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/Exchanger.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/Exchanger.kt
@@ -152,7 +152,8 @@
     private fun onGrant(plan: PlannedReport, link: AllocatorLink, grant: CellGrant, sentMs: Long) {
         val memory = link.cells.getValue(grant.cell)
         val current = memory.accept(grant)
-        if (!current || !planner.isSupported(grant.cell, plan.allocator.id)) {
+        val lends = grant.leaseMs > 0
+        if (!current || !lends || !planner.isSupported(grant.cell, plan.allocator.id)) {
             return
         }
         val lease = Lease(grant.cell, plan.allocator.id, grant.slots, sentMs + grant.leaseMs)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/PeerConfiguration.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/PeerConfiguration.kt
@@ -5,7 +5,7 @@
 import corneltrack.world.InstanceId
 import org.apache.logging.log4j.LogManager
 
-private const val SILENCE_MS = 1_500L
+private const val PATIENCE_MS = 1_500L
 private const val PERIOD_MS = 1_000L
 private val logger = LogManager.getLogger("corneltrack.router.PeerConfiguration")
 
@@ -13,13 +13,12 @@
  * Fetches the configuration from a peer that is further along than this router.
  *
  * So an outage of the log or a restart without memory reverts nothing. Offsets ride on the exchanges between routers; a
- * router that knows nothing yet and does not hear from the log asks its peers in turn.
+ * router that the log has told nothing asks its peers in turn.
  */
 internal class PeerConfiguration(
     private val self: InstanceId,
     private val views: RouterViews,
     private val peers: PeerClient,
-    private val logSilenceMs: (nowMs: Long) -> Long?,
     private val clock: Clock,
 ) {
     private val startMs = clock()
@@ -35,11 +34,11 @@
         }
     }
 
-    /** Asks a peer where nothing is known and the log is silent. */
+    /** Asks a peer where the log has told nothing since the start, be it silent or its records expired. */
     fun tick() {
         val nowMs = clock()
-        val silent = (logSilenceMs(nowMs) ?: (nowMs - startMs)) >= SILENCE_MS
-        if (views.current.configuration.known || !silent || nowMs - askedMs < PERIOD_MS) {
+        val early = nowMs - startMs < PATIENCE_MS || nowMs - askedMs < PERIOD_MS
+        if (views.current.configuration.known || early) {
             return
         }
         askedMs = nowMs
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/Router.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/Router.kt
@@ -75,7 +75,7 @@
     private val duty = AllocatorDuty(settings, incarnation, views, times, clock)
     private val upkeep = AllocatorUpkeep(parts, duty, loads, control)
     private val snapshots = SnapshotDuty(settings, views, log, reader, clock)
-    private val configurations = PeerConfiguration(settings.id, views, peers, reader::silenceMs, clock)
+    private val configurations = PeerConfiguration(settings.id, views, peers, clock)
     private val exchanger = Exchanger(parts, incarnation, times, control, duty::exchange, configurations::onOffset)
     private val loans = LoanExchanger(parts, incarnation, duty, control, ::allocatorOf, configurations::onOffset)
     private val keyed = KeyedRequests(
--- a/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/Slopes.kt
+++ b/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/Slopes.kt
@@ -107,7 +107,7 @@
     )
     private val home = (0 until size.routers).mapTo(HashSet()) { InstanceId("r$it") }
     private val endpoints = (0 until size.endpoints).mapTo(HashSet()) { EndpointId("endpoint-$it") }
-    private val allocator = CellAllocator(cell, LeaseTimes()) { Terms() }
+    private val allocator = CellAllocator(cell, LeaseTimes(), -LeaseTimes().supportMs) { Terms() }
     private val acknowledged = HashMap<Int, Long>()
     private var turn = 0
     private var nowMs = 0L
