Compare late loads with the least known count only while a router is missing

Late loads were always compared with the least of the last three counts; with requests of 220 ms that is below the true count nearly always, so that one slot of four stayed kept back and the limit could not grow. Ruled out: the limit's own settling time (it passed with it before). Change: the cautious count holds while a listed router has no live lease.

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/CellCapacity.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/CellCapacity.kt
@@ -75,5 +75,10 @@
         supportedSlots(book.limit(id), supporters.supporting(nowMs).size, supporters.listed(nowMs))
 
     private fun lost(id: EndpointId, nowMs: Long): Int =
-        maxOf(0, book.unaccounted(id) - holders.lapsed(id, nowMs))
+        maxOf(0, book.unaccounted(id, routerMissing(nowMs)) - holders.lapsed(id, nowMs))
+
+    /** Returns whether a listed router holds no lease here, so that it may have left requests running. */
+    private fun routerMissing(
+        nowMs: Long
+    ): Boolean = supporters.listedRouters(nowMs).any { !holders.isLeased(it, nowMs) }
 }
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/EndpointBook.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/EndpointBook.kt
@@ -10,6 +10,7 @@
     private class Entry(val pool: Pool, val limit: EndpointLimit) {
         val accounted = ArrayDeque<Int>()
         val unaccounted = ArrayDeque<Int>()
+        val atMost = ArrayDeque<Int>()
         var open = true
     }
 
@@ -52,17 +53,25 @@
     /**
      * Takes in what an endpoint reported, while [accounted] requests there belong to known routers.
      *
-     * The report lags behind, so what counts as known is the least of the last few moments.
+     * The report lags behind, so what is known at the moment may be newer than it.
      */
     fun onReport(id: EndpointId, report: EndpointReport, accounted: Int) {
         val entry = entries[id] ?: return
         entry.limit.onReport(report)
         entry.accounted.addRecent(accounted)
-        entry.unaccounted.addRecent(maxOf(0, report.running - entry.accounted.min()))
+        entry.unaccounted.addRecent(maxOf(0, report.running - accounted))
+        entry.atMost.addRecent(maxOf(0, report.running - entry.accounted.min()))
     }
 
-    /** Returns the load on [id] that persists through recent reports without a known router behind it. */
-    fun unaccounted(id: EndpointId): Int = entries[id]?.unaccounted?.minOrNull() ?: 0
+    /**
+     * Returns the load on [id] that persists through recent reports without a known router behind it.
+     *
+     * @param cautious whether a report is compared with the least that was known lately, as while a router is missing.
+     */
+    fun unaccounted(id: EndpointId, cautious: Boolean): Int {
+        val loads = entries[id]?.let { if (cautious) it.atMost else it.unaccounted }
+        return loads?.minOrNull() ?: 0
+    }
 
     fun limit(id: EndpointId): Int = entries[id]?.takeIf { it.open }?.limit?.current ?: 0
 
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/Supporters.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/Supporters.kt
@@ -43,7 +43,10 @@
         countedUntil.filterTo(HashMap()) { (id, until) -> until > nowMs && id in listedUntil }.keys
 
     /** Returns the number of routers counted as listed. */
-    public fun listed(nowMs: Long): Int = listedUntil.count { it.value > nowMs }
+    public fun listed(nowMs: Long): Int = listedRouters(nowMs).size
+
+    /** Returns the routers counted as listed. */
+    public fun listedRouters(nowMs: Long): Set<InstanceId> = listedUntil.filterValues { it > nowMs }.keys
 
     /** Returns the moment at which the first of the present supporters lapses, or [nowMs] where there is none. */
     public fun firstLapse(nowMs: Long): Long = supporting(nowMs).minOfOrNull { countedUntil.getValue(it) } ?: nowMs
