--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/CellCapacity.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/CellCapacity.kt
@@ -74,11 +74,8 @@
     private fun own(id: EndpointId, nowMs: Long): Int =
         supportedSlots(book.limit(id), supporters.supporting(nowMs).size, supporters.listed(nowMs))
 
-    private fun lost(id: EndpointId, nowMs: Long): Int =
-        maxOf(0, book.unaccounted(id, routerMissing(nowMs)) - holders.lapsed(id, nowMs))
-
-    /** Returns whether a listed router holds no lease here, so that it may have left requests running. */
-    private fun routerMissing(
-        nowMs: Long
-    ): Boolean = supporters.listedRouters(nowMs).any { !holders.isLeased(it, nowMs) }
+    private fun lost(id: EndpointId, nowMs: Long): Int {
+        val cautious = holders.anyMissing(supporters.listedRouters(nowMs), nowMs)
+        return maxOf(0, book.unaccounted(id, cautious) - holders.lapsed(id, nowMs))
+    }
 }
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/Holders.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/Holders.kt
@@ -133,8 +133,9 @@
     fun running(endpoint: EndpointId, nowMs: Long): Int =
         byId.values.filter { it.leaseUntilMs > nowMs }.sumOf { it.running[endpoint] ?: 0 }
 
-    /** Returns whether the router [id] has a lease that is alive. */
-    fun isLeased(id: InstanceId, nowMs: Long): Boolean = (byId[id]?.leaseUntilMs ?: 0) > nowMs
+    /** Returns whether any of [routers] holds no lease, so that it may have left requests running. */
+    fun anyMissing(routers: Set<InstanceId>, nowMs: Long): Boolean =
+        routers.any { (byId[it]?.leaseUntilMs ?: 0) <= nowMs }
 
     /** Returns the slots of [endpoint] still committed to routers whose lease has lapsed. */
     fun lapsed(endpoint: EndpointId, nowMs: Long): Int =
