Name the configuration stream once and remove what nothing calls

Cause: a reading of the whole change. The stream's name stood in the router, the operators' command and the testbed; a queue count, a key class and an accessor had no caller left since routers stopped reporting across regions. Change: the name stands beside the log client; the unused pieces are gone.

--- a/corneltrack-control/src/main/kotlin/corneltrack/control/Operator.kt
+++ b/corneltrack-control/src/main/kotlin/corneltrack/control/Operator.kt
@@ -1,6 +1,7 @@
 package corneltrack.control
 
 import corneltrack.wire.AppendResult
+import corneltrack.wire.CONFIGURATION_STREAM
 import corneltrack.wire.ControlClient
 import corneltrack.wire.ControlRequest
 import corneltrack.wire.ControlResult
@@ -28,7 +29,6 @@
 import java.util.UUID
 import java.util.concurrent.CompletableFuture
 
-private const val STREAM = "configuration"
 private const val READ_BACK_ATTEMPTS = 10
 private const val READ_BACK_PAUSE_MS = 300L
 private const val POLL_MS = 50L
@@ -72,7 +72,7 @@
     }
 
     private fun append(record: ChangeRecord) {
-        val result = log.append(STREAM, wireJson.encodeToString<ConfigurationEntry>(record)).join()
+        val result = log.append(CONFIGURATION_STREAM, wireJson.encodeToString<ConfigurationEntry>(record)).join()
         if (result is AppendResult.Refused) {
             throw CommandFailure(ExitCode.UNAVAILABLE, "Nothing was changed: the log refused. ${result.reason}")
         }
@@ -115,7 +115,7 @@
         return null
     }
 
-    private fun read(from: Long): LogPage = when (val result = log.read(STREAM, from).join()) {
+    private fun read(from: Long): LogPage = when (val result = log.read(CONFIGURATION_STREAM, from).join()) {
         is ReadResult.Page -> result.page
         is ReadResult.Unavailable ->
             throw CommandFailure(ExitCode.UNAVAILABLE, "The log does not answer: ${result.reason}")
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/ClaimTable.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/ClaimTable.kt
@@ -1,7 +1,6 @@
 package corneltrack.policy
 
 import corneltrack.world.InstanceId
-import corneltrack.world.WorkspaceId
 import kotlinx.serialization.Serializable
 
 /**
@@ -26,9 +25,6 @@
     val supersedes: String? = null,
 )
 
-/** Names the workspace and key of a caller's request, before digestion. */
-public data class CallerKey(val workspace: WorkspaceId, val key: String)
-
 /**
  * Folds the stream of claims: the first claim of a key wins, unless a later one rightly supersedes it.
  *
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/EndpointLimit.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/EndpointLimit.kt
@@ -57,9 +57,6 @@
     public var cold: Boolean = limit <= coldLimit
         private set
 
-    /** The incarnation last seen, or null before the first report. */
-    public val knownIncarnation: String? get() = incarnation
-
     /** The slots that may be lent at present. */
     public val current: Int get() = limit
 
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/FairQueue.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/FairQueue.kt
@@ -50,10 +50,6 @@
     /** Returns the number of waiting requests of [workspace]. */
     public fun count(workspace: WorkspaceId): Int = queues[workspace]?.size ?: 0
 
-    /** Returns how many of the first [limit] waiting requests of [workspace] arrived at [latestMs] or before. */
-    public fun countArrivedBy(workspace: WorkspaceId, latestMs: Long, limit: Int): Int =
-        queues[workspace].orEmpty().asSequence().take(limit).takeWhile { it.arrivedMs <= latestMs }.count()
-
     /** Removes and returns the requests whose deadline has passed at [nowMs]. */
     public fun expire(nowMs: Long): List<T> = drain { it.deadlineMs <= nowMs }
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/ConfigurationReader.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/ConfigurationReader.kt
@@ -1,5 +1,6 @@
 package corneltrack.router
 
+import corneltrack.wire.CONFIGURATION_STREAM
 import corneltrack.wire.LogClient
 import corneltrack.wire.LogPage
 import corneltrack.wire.ReadResult
@@ -18,9 +19,6 @@
 import java.util.concurrent.ScheduledExecutorService
 import java.util.concurrent.TimeUnit
 
-/** The stream that holds the configuration. */
-public const val CONFIGURATION_STREAM: String = "configuration"
-
 private const val WAIT_MS = 5_000L
 private const val RETRY_MS = 500L
 private val logger = LogManager.getLogger("corneltrack.router.ConfigurationReader")
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/SnapshotDuty.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/SnapshotDuty.kt
@@ -1,6 +1,7 @@
 package corneltrack.router
 
 import corneltrack.policy.rendezvous
+import corneltrack.wire.CONFIGURATION_STREAM
 import corneltrack.wire.LogClient
 import corneltrack.wire.event
 import corneltrack.wire.wireJson
--- a/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/TestFleet.kt
+++ b/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/TestFleet.kt
@@ -1,6 +1,7 @@
 package corneltrack.testbed
 
 import corneltrack.wire.AppendResult
+import corneltrack.wire.CONFIGURATION_STREAM
 import corneltrack.wire.ControlClient
 import corneltrack.wire.ControlRequest
 import corneltrack.wire.ControlResult
@@ -98,7 +99,7 @@
     public fun change(change: Change, basedOn: Long = Long.MAX_VALUE): Long {
         val record = ChangeRecord(UUID.randomUUID().toString(), basedOn, "test", "test", 0, change)
         val data = wireJson.encodeToString<ConfigurationEntry>(record)
-        val result = LogClient(client, log.address).append("configuration", data).join()
+        val result = LogClient(client, log.address).append(CONFIGURATION_STREAM, data).join()
         return (result as AppendResult.Appended).offset
     }
 
--- a/corneltrack-wire/src/main/kotlin/corneltrack/wire/LogClient.kt
+++ b/corneltrack-wire/src/main/kotlin/corneltrack/wire/LogClient.kt
@@ -6,6 +6,9 @@
 import kotlinx.serialization.encodeToString
 import java.util.concurrent.CompletableFuture
 
+/** The stream that holds the configuration. */
+public const val CONFIGURATION_STREAM: String = "configuration"
+
 private const val APPEND_TIMEOUT_MS = 2_000L
 private const val READ_MARGIN_MS = 2_000L
 private const val READ_LIMIT = 1_000
