Let suspects of a crash hold up no other request

Cause: 'a restarted engine is not given more than it bears in cold start' failed three times out of three: 12 s after the restart the engine ran nothing, its limit was 2, two slots were lent and 15 requests waited at its router. Requests that were running in the crash are suspects; they go back to the head of their workspace's queue and may not return to the endpoint that crashed. Only the head of each queue was tried, so that four suspects hid all innocent requests behind them. And a lender in another region gave them no slot for as long as the same workspace waited there too. Ruled out: the endpoint's limit and its load report (both right in the trace), leases, proxies. Change: suspects and the first request behind them are tried. A workspace's requests from afar lose their handicap where they have waited more than twice as long as its own near ones and 2 s. Stand-ins no longer wait for a socket on an event loop when they restart, on a port that the system lends to no outgoing connection (found by reading; not seen to fail).

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/FairDivision.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/FairDivision.kt
@@ -8,6 +8,8 @@
 import kotlin.math.max
 
 private const val REMOTE_HANDICAP = 2.5
+private const val LATE_FACTOR = 2
+private const val TIE_WEIGHT = 1e-3
 private const val OVERDUE_WAIT_MS = 2_000L
 
 /**
@@ -45,7 +47,8 @@
  *
  * Slots go one at a time to the workspace whose virtual service is lowest, counting each slot already assigned as one
  * unit of virtual service. A workspace at its cap is passed over while another one can use the slot; afterwards unused
- * slots are lent to it all the same.
+ * slots are lent to it all the same. What a workspace wants from afar is served at a handicap, unless it has waited
+ * much longer there than here.
  *
  * @param virtual the virtual service of a workspace, in units of what one slot serves until slots should have moved.
  * @param terms the agreement's terms of a workspace.
@@ -74,6 +77,7 @@
     val demands: List<Demand>,
     val wanted: Int,
 ) {
+    val oldestWaitMs = demands.maxOf { it.oldestWaitMs }
     var assigned = 0
 }
 
@@ -86,9 +90,14 @@
     val shares = mutableListOf<Share>()
     val deferred = HashSet<WorkspaceId>()
     private val held = HashMap<WorkspaceId, Int>()
+    private val localWaits = HashMap<WorkspaceId, Long>()
 
     fun add(workspace: WorkspaceId, local: Boolean, demands: List<Demand>) {
-        shares += Share(workspace, local, demands, demands.sumOf { it.total })
+        val share = Share(workspace, local, demands, demands.sumOf { it.total })
+        shares += share
+        if (local) {
+            localWaits[workspace] = share.oldestWaitMs
+        }
     }
 
     fun fill(): Int {
@@ -121,9 +130,15 @@
     }
 
     private fun key(share: Share): Double {
-        val handicap = if (share.local) 0.0 else REMOTE_HANDICAP
+        val handicap = if (share.local || isLate(share)) 0.0 else REMOTE_HANDICAP
         val all = heldBy(share) + (elsewhere[share.workspace] ?: 0)
-        return virtual(share.workspace) + handicap + all / terms(share.workspace).weight
+        val tie = TIE_WEIGHT * share.assigned / share.wanted
+        return virtual(share.workspace) + handicap + all / terms(share.workspace).weight + tie
+    }
+
+    private fun isLate(share: Share): Boolean {
+        val here = localWaits[share.workspace] ?: return false
+        return share.oldestWaitMs > LATE_FACTOR * here + OVERDUE_WAIT_MS
     }
 
     private fun heldBy(share: Share): Int = held[share.workspace] ?: 0
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/FairQueue.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/FairQueue.kt
@@ -47,6 +47,13 @@
     /** Returns the oldest waiting request of [workspace]. */
     public fun peek(workspace: WorkspaceId): T? = queues[workspace]?.firstOrNull()
 
+    /** Returns the waiting requests of [workspace] from the oldest up to the first that [last] picks, inclusive. */
+    public fun upTo(workspace: WorkspaceId, last: (T) -> Boolean): List<T> {
+        val queue = queues[workspace].orEmpty()
+        val index = queue.indexOfFirst(last)
+        return if (index < 0) queue.toList() else queue.take(index + 1)
+    }
+
     /** Returns the number of waiting requests of [workspace]. */
     public fun count(workspace: WorkspaceId): Int = queues[workspace]?.size ?: 0
 
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/Holders.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/Holders.kt
@@ -117,6 +117,7 @@
                 waiting = min(count, WAITING_LIMIT),
                 running = there,
                 served = served[workspace] ?: 0,
+                oldestWaitMs = own[workspace].orEmpty().maxOfOrNull { it.oldestWaitMs } ?: 0,
                 elsewhere = running - there,
             )
         }
--- a/corneltrack-policy/src/test/kotlin/corneltrack/policy/FairDivisionTest.kt
+++ b/corneltrack-policy/src/test/kotlin/corneltrack/policy/FairDivisionTest.kt
@@ -86,6 +86,19 @@
         assertTrue((division.targets[far] ?: 0) == 1, "targets ${division.targets}")
     }
 
+    @Test
+    fun `what a workspace wants from afar waits behind its own region only while it has not waited much longer`() {
+        fun targetsAfter(farWaitMs: Long): Map<InstanceId, Int> {
+            val demands = listOf(
+                Demand(one, near, 20, 0, oldestWaitMs = 1_000),
+                Demand(one, far, 20, 0, farWaitMs, local = false),
+            )
+            return divide(4, demands, { 0.0 }, { Terms() }).targets
+        }
+        assertEquals(mapOf(near to 4), targetsAfter(farWaitMs = 4_000))
+        assertEquals(mapOf(near to 2, far to 2), targetsAfter(farWaitMs = 4_001))
+    }
+
     private companion object {
         const val RUNS = 500
     }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/EndpointChooser.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/EndpointChooser.kt
@@ -21,17 +21,19 @@
 
     /** Returns an endpoint of [free] for [request], or null where none fits. */
     operator fun invoke(request: RoutedRequest, free: Map<EndpointId, Int>): EndpointId? {
-        val fingerprint = request.identity.fingerprint
-        val suspect = suspects.isSuspect(fingerprint)
-        val crashed = if (suspect) suspects.endpointsOf(fingerprint) else emptySet()
+        val suspect = isSuspect(request)
+        val crashed = if (suspect) suspects.endpointsOf(request.identity.fingerprint) else emptySet()
         val untried = free.filterKeys { it !in request.tried && it !in crashed }
         val fitting = (if (suspect) untried else untried.ifEmpty { free })
             .filterKeys { !suspect || (suspectsRunning[it] ?: 0) == 0 }
         return fitting.maxWithOrNull(compareBy({ it.value }, { it.key }))?.key
     }
 
+    /** Returns whether [request] was running where an endpoint crashed. */
+    fun isSuspect(request: RoutedRequest): Boolean = suspects.isSuspect(request.identity.fingerprint)
+
     fun onStart(request: RoutedRequest, endpoint: EndpointId) {
-        val suspect = suspects.isSuspect(request.identity.fingerprint)
+        val suspect = isSuspect(request)
         running[request] = suspect
         if (suspect) {
             suspectsRunning.merge(endpoint, 1, Int::plus)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/PoolState.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/PoolState.kt
@@ -75,11 +75,15 @@
         }
         val home = free.filterKeys { slots.lender(it) == views.current.endpoints[it]?.cell }
         val remote = free - home.keys
-        return order.sorted(queue.workspaces).firstNotNullOfOrNull { workspace ->
-            queue.peek(workspace)?.let { start(it, home, remote, nowMs) }
-        }
+        return order.sorted(queue.workspaces)
+            .flatMap { candidates(it) }
+            .firstNotNullOfOrNull { start(it, home, remote, nowMs) }
     }
 
+    /** Returns the requests of [workspace] that may start next: suspects, which fit few endpoints, hold up no other. */
+    private fun candidates(workspace: WorkspaceId): List<RoutedRequest> =
+        queue.upTo(workspace) { !choose.isSuspect(it) }
+
     /** Returns whether requests wait or run, without a full snapshot. */
     fun activity(): PoolActivity =
         PoolActivity(queue.workspaces.isNotEmpty(), held.filterValues { it.endpoints.isNotEmpty() }.keys.toSet())
--- a/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/EndpointServer.kt
+++ b/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/EndpointServer.kt
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
@@ -14,7 +15,6 @@
 import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.util.concurrent.GlobalEventExecutor
-import java.net.InetSocketAddress
 
 private const val BODY_LIMIT_BYTES = 16 * 1024 * 1024
 
@@ -27,12 +27,11 @@
     private val connections = DefaultChannelGroup(GlobalEventExecutor.INSTANCE)
     private var channel: Channel? = null
 
-    @Volatile
-    var port: Int = 0
-        private set
+    /** A port that the system gives to no outgoing connection, so that it is still free after a crash. */
+    val port: Int = freePort()
 
-    /** Listens on the port of before, or on a free one at first. */
-    fun start() {
+    /** Listens. The future fails where the port is taken; never wait for it on an event loop. */
+    fun start(): ChannelFuture {
         val bootstrap = ServerBootstrap()
             .group(group)
             .channel(NioServerSocketChannel::class.java)
@@ -44,9 +43,9 @@
                     child.pipeline().addLast(HttpServerCodec(), HttpObjectAggregator(BODY_LIMIT_BYTES), Handler())
                 }
             })
-        val bound = bootstrap.bind("127.0.0.1", port).syncUninterruptibly().channel()
-        port = (bound.localAddress() as InetSocketAddress).port
-        channel = bound
+        val binding = bootstrap.bind("127.0.0.1", port)
+        channel = binding.channel()
+        return binding
     }
 
     /** Stops to listen and breaks all connections. */
--- a/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/ModelEngineStandIn.kt
+++ b/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/ModelEngineStandIn.kt
@@ -3,6 +3,7 @@
 import corneltrack.router.EndpointLoad
 import corneltrack.wire.wireJson
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.EventLoopGroup
 import io.netty.handler.codec.http.FullHttpRequest
@@ -79,7 +80,7 @@
 
     /** Starts the engine, cold. */
     public fun start(): ModelEngineStandIn = apply {
-        begin()
+        begin().syncUninterruptibly()
         publish()
     }
 
@@ -98,11 +99,11 @@
 
     override fun close(): Unit = server.close()
 
-    private fun begin() {
+    private fun begin(): ChannelFuture {
         starts.incrementAndGet()
         startedMs = nowMs()
         coldUntilMs = nowMs() + behaviour.coldMs
-        server.start()
+        return server.start()
     }
 
     private fun publish() {
--- a/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/PlainServiceStandIn.kt
+++ b/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/PlainServiceStandIn.kt
@@ -30,7 +30,7 @@
     public val address: String get() = "127.0.0.1:${server.port}"
 
     /** Starts to listen. */
-    public fun start(): PlainServiceStandIn = apply { server.start() }
+    public fun start(): PlainServiceStandIn = apply { server.start().syncUninterruptibly() }
 
     /** Breaks all connections and stops to listen. */
     public fun crash(): Unit = server.crash()
