Count a router's reports between two loads as the least that was known

The load that showed it was compared with what known routers had said when loads arrived; one of them had ended its request in between and begun three others, so its stale count covered for the stranger. 7 ran where 6 are borne. Ruled out: support and shares (6 of 6 slots were due with two of three supporters). Change: the least count known since the load before is compared, not only that at the arrival.

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/CellAllocator.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/CellAllocator.kt
@@ -137,6 +137,7 @@
                 borrowed.onOutcomes(id, outcomes)
             }
         }
+        book.ids.forEach { book.onKnown(it, holders.running(it, nowMs)) }
         holders.expire(nowMs).forEach { service.forget(it) }
         if (nowMs - dividedMs >= DIVIDE_EVERY_MS || holder.sequence == 0L) {
             redivide(nowMs)
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/ClaimTable.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/ClaimTable.kt
@@ -59,7 +59,12 @@
     /** Returns the winning claim of [key], or null where there is none. */
     public fun winner(key: String): Claim? = winners[key]
 
-    /** Forgets claims older than the retention at [nowMs]. */
+    /**
+     * Forgets claims older than twice the retention at [nowMs].
+     *
+     * Any new claim of their keys would win all the same, so routers need not forget at the same moment as long as
+     * their clocks differ by less than the retention.
+     */
     public fun expire(nowMs: Long) {
         val oldest = winners.values.iterator()
         while (oldest.hasNext() && nowMs - oldest.next().atMs > 2 * retentionMs) {
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/EndpointBook.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/EndpointBook.kt
@@ -12,6 +12,7 @@
         val unaccounted = ArrayDeque<Int>()
         val atMost = ArrayDeque<Int>()
         var open = true
+        var leastKnown = Int.MAX_VALUE
     }
 
     private val entries = HashMap<EndpointId, Entry>()
@@ -50,6 +51,11 @@
         return true
     }
 
+    /** Takes in that [known] requests on [id] belong to known routers as of the latest router's report. */
+    fun onKnown(id: EndpointId, known: Int) {
+        entries[id]?.let { it.leastKnown = minOf(it.leastKnown, known) }
+    }
+
     /**
      * Takes in what an endpoint reported, while [accounted] requests there belong to known routers.
      *
@@ -58,7 +64,8 @@
     fun onReport(id: EndpointId, report: EndpointReport, accounted: Int) {
         val entry = entries[id] ?: return
         entry.limit.onReport(report)
-        entry.accounted.addRecent(accounted)
+        entry.accounted.addRecent(minOf(accounted, entry.leastKnown))
+        entry.leastKnown = accounted
         entry.unaccounted.addRecent(maxOf(0, report.running - accounted))
         entry.atMost.addRecent(maxOf(0, report.running - entry.accounted.min()))
     }
--- a/corneltrack-policy/src/test/kotlin/corneltrack/policy/AllocationScriptTest.kt
+++ b/corneltrack-policy/src/test/kotlin/corneltrack/policy/AllocationScriptTest.kt
@@ -30,10 +30,11 @@
     }
 
     private companion object {
-        const val SEEDS = 60
+        /** The number of seeds; more are tried with `-Dcorneltrack.seeds=5000`. */
+        val SEEDS: Int = Integer.getInteger("corneltrack.seeds", 240)
 
-        /** Seeds that found an overrun once: restarted allocators, and loads compared with newer counts. */
-        val PAST_FAILURES = listOf(170, 514, 2_077)
+        /** Seeds that found an overrun once: restarted allocators, and loads compared with newer or stale counts. */
+        val PAST_FAILURES = listOf(170, 514, 2_077, 3_200)
         const val LIMIT = 6
         const val ENDPOINTS = 2
         const val STEPS = 1_500
--- a/corneltrack-policy/src/test/kotlin/corneltrack/policy/ClaimTableTest.kt
+++ b/corneltrack-policy/src/test/kotlin/corneltrack/policy/ClaimTableTest.kt
@@ -41,6 +41,16 @@
         assertEquals("c", table.winner("k")?.claimId)
     }
 
+    @Test
+    fun `claims past twice the retention are forgotten and later ones are kept`() {
+        val table = ClaimTable(RETENTION_MS)
+        table.apply(0, listOf(claim("k", "a", atMs = 0), claim("l", "b", atMs = RETENTION_MS)))
+        table.expire(2 * RETENTION_MS)
+        assertEquals(2, table.size)
+        table.expire(2 * RETENTION_MS + 1)
+        assertEquals(listOf(null, "b"), listOf("k", "l").map { table.winner(it)?.claimId })
+    }
+
     private fun claim(key: String, id: String, atMs: Long = 0, supersedes: String? = null) =
         Claim(key, id, InstanceId("router"), "incarnation", "digest", atMs, supersedes)
 
