Forget idempotency keys past their retention

Cause: ClaimTable.expire had no caller, so that a router kept every claim that it had read; and the ledger of kept answers did not give back the bytes of an answer that it dropped for its number. Change: claims are trimmed with each page of the stream; dropped answers give their bytes back; the number of keys remembered is a metric. Figures: with a retention of 0.5 s the metric stays below the number of keys sent (it equalled it before, so the new test would have waited in vain).

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/ClaimLedger.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/ClaimLedger.kt
@@ -34,14 +34,16 @@
     fun begin(claimId: String) {
         entries[claimId] = Entry()
         if (entries.size > REMEMBERED_CLAIMS) {
-            entries.remove(entries.keys.first())
+            remove(entries.keys.first())
         }
     }
 
     /** Forgets a claim that did not win. */
     @Synchronized
-    fun forget(claimId: String) {
-        entries.remove(claimId)
+    fun forget(claimId: String) = remove(claimId)
+
+    private fun remove(claimId: String) {
+        keptBytes -= entries.remove(claimId)?.bytes ?: 0
     }
 
     /** Records how the request of [claimId] ended. The oldest kept answers make room for new ones. */
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/ClaimStream.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/ClaimStream.kt
@@ -40,6 +40,7 @@
     private val log: LogClient,
     private val executor: ScheduledExecutorService,
     retentionMs: Long,
+    private val time: Clock,
 ) {
     private class Pending(val claim: Claim, val result: CompletableFuture<ClaimResult>)
 
@@ -47,6 +48,11 @@
     private val pending = ArrayDeque<Pending>()
     private var scheduled = false
 
+    /** The keys remembered. */
+    @Volatile
+    var remembered: Int = 0
+        private set
+
     /** Claims a key. Completes on any thread. */
     fun claim(claim: Claim): CompletableFuture<ClaimResult> {
         val result = CompletableFuture<ClaimResult>()
@@ -107,6 +113,8 @@
 
     private fun fold(page: LogPage) {
         page.records.forEach { table.apply(it.offset, decode(it.data)) }
+        table.expire(time())
+        remembered = table.size
     }
 
     private fun decode(data: String): List<Claim> =
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/Router.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/Router.kt
@@ -78,12 +78,8 @@
     private val configurations = PeerConfiguration(settings.id, views, peers, clock)
     private val exchanger = Exchanger(parts, incarnation, times, control, duty::exchange, configurations::onOffset)
     private val loans = LoanExchanger(parts, incarnation, duty, control, ::allocatorOf, configurations::onOffset)
-    private val keyed = KeyedRequests(
-        parts,
-        incarnation,
-        ClaimStream(log, control, settings.limits.claimRetentionMs),
-        epochClock
-    )
+    private val claims = ClaimStream(log, control, settings.limits.claimRetentionMs, epochClock)
+    private val keyed = KeyedRequests(parts, incarnation, claims, epochClock)
     private val gateway = Gateway(views, settings, runner, keyed, clock)
     private val surface = ControlSurface(Source(), duty, views, keyed.ledger, crashes, control)
     private val openAnswers = AtomicInteger()
@@ -210,7 +206,11 @@
             metrics.onControlTraffic(from, sent.toLong() + ANSWER_HEAD_BYTES, received.toLong() + REQUEST_HEAD_BYTES)
         }
 
-        override fun metrics(): String = metrics.text(runner.openRequests, views.current.configuration.offset)
+        override fun metrics(): String = metrics.text(
+            runner.openRequests,
+            views.current.configuration.offset,
+            claims.remembered,
+        )
     }
 }
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/RouterMetrics.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/RouterMetrics.kt
@@ -29,6 +29,8 @@
         .help("Bytes sent and received, by kind and scope.").labelNames("kind", "scope", "direction").register(registry)
     private val gauge = Gauge.builder().name("corneltrack_requests_open")
         .help("Requests that wait or run.").register(registry)
+    private val claims = Gauge.builder().name("corneltrack_claims_remembered")
+        .help("Idempotency keys that this router remembers.").register(registry)
     private val configuration = Gauge.builder().name("corneltrack_configuration_offset")
         .help("Offset up to which the configuration stream has been applied.").register(registry)
 
@@ -63,8 +65,9 @@
     fun onPlatformTraffic(sent: Long, received: Long) = onTraffic("platform", TrafficScope.DATA_CENTRE, sent, received)
 
     /** Returns all metrics as text. */
-    fun text(openRequests: Int, configurationOffset: Long): String {
+    fun text(openRequests: Int, configurationOffset: Long, rememberedClaims: Int): String {
         gauge.set(openRequests.toDouble())
+        claims.set(rememberedClaims.toDouble())
         configuration.set(configurationOffset.toDouble())
         val buffer = ByteArrayOutputStream()
         PrometheusTextFormatWriter.builder().build().write(buffer, registry.scrape())
--- a/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/FleetPlan.kt
+++ b/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/FleetPlan.kt
@@ -31,6 +31,7 @@
     val regionDelayMs: Long,
     val listLagMs: Long,
     val proxied: Boolean = true,
+    val claimRetentionMs: Long = DEFAULT_CLAIM_RETENTION_MS,
 ) {
     /** The changes that bring the fleet's first configuration about. */
     public val firstChanges: List<Change>
@@ -74,6 +75,9 @@
     /** The longest silence of an answer, in ms. */
     public var silenceLimitMs: Long = DEFAULT_SILENCE_MS
 
+    /** How long routers remember an idempotency key, in ms. */
+    public var claimRetentionMs: Long = DEFAULT_CLAIM_RETENTION_MS
+
     /** Adds a data centre, which is a region of its own unless [region] names one. */
     public fun dataCentre(id: String, region: String = id, routers: Int = 1, engines: Int = 0, services: Int = 0) {
         dataCentres += PlannedDataCentre(DataCentreId(id), RegionId(region), routers, engines, services)
@@ -97,7 +101,7 @@
         )
         val names = (1..workspaces).map { WorkspaceId("w%02d".format(it)) }
         val pools = listOf(drafts, orders)
-        return FleetPlan(dataCentres, names, pools, engine, serviceMs, regionDelayMs, listLagMs, proxied)
+        return FleetPlan(dataCentres, names, pools, engine, serviceMs, regionDelayMs, listLagMs, proxied, claimRetentionMs)
     }
 }
 
@@ -105,6 +109,7 @@
 public fun fleetPlan(describe: FleetPlanBuilder.() -> Unit): FleetPlan = FleetPlanBuilder().apply(describe).build()
 
 private const val DEFAULT_WORKSPACES = 4
+private const val DEFAULT_CLAIM_RETENTION_MS = 86_400_000L
 private const val DEFAULT_SERVICE_MS = 20L
 private const val DEFAULT_SILENCE_MS = 10_000L
 private const val SERVICE_LIMIT = 16
--- a/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/TestFleet.kt
+++ b/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/TestFleet.kt
@@ -158,7 +158,7 @@
          "callers": {"host": "127.0.0.1", "port": ${callers.substringAfter(':')}},
          "control": {"host": "127.0.0.1", "port": ${control.substringAfter(':')}},
          "platform": {"log": "$log", "instances": "$list"},
-         "dataCentres": [$centres], "limits": {}}
+         "dataCentres": [$centres], "limits": {"claimRetentionMs": ${plan.claimRetentionMs}}}
     """.trimIndent()
 }
 
--- a/corneltrack-testbed/src/test/kotlin/corneltrack/testbed/AtMostOnceTest.kt
+++ b/corneltrack-testbed/src/test/kotlin/corneltrack/testbed/AtMostOnceTest.kt
@@ -76,10 +76,27 @@
         if (result.outcome == "not-run") assertEquals(0, fleet.runsOf("order-8"))
     }
 
+    @Test
+    fun `keys past the retention are forgotten by the routers that claimed them`() =
+        smallFleet { claimRetentionMs = SHORT_RETENTION_MS }.use { small ->
+            var sent = 0
+            await("some keys to be forgotten") {
+                sent++
+                val headers = mapOf("idempotency-key" to "brief-$sent")
+                client.call(small.router("north").callers, order(small.workspace, "brief-$sent", headers)).join()
+                remembered(small) in 1 until sent
+            }
+        }
+
+    private fun remembered(fleet: TestFleet): Int =
+        Regex("corneltrack_claims_remembered (\\d+)").find(fleet.get(fleet.router("north"), "/metrics").orEmpty())
+            ?.groupValues?.get(1)?.toInt() ?: 0
+
     private fun send(router: RouterProcess, body: String, key: String): OpenCall =
         client.call(router.callers, order(fleet.workspace, body, mapOf("idempotency-key" to key)))
 
     private companion object {
         const val SERVICE_MS = 500L
+        const val SHORT_RETENTION_MS = 500L
     }
 }
