Give each waiting workspace a turn at every router

Ruled out: lost requests (all were answered, truthfully, as not run). Change: a workspace whose request has waited 10 s, and that has started nothing here for as long, goes first once. The cost is charged as any other.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/CellReports.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/CellReports.kt
@@ -83,7 +83,7 @@
         outcomes = sources.outcomes,
         virtual = if (first) snapshot.virtual else emptyMap(),
         limits = if (first) memory.limits else emptyMap(),
-        meanCost = sources.meanCost,
+        meanCost = snapshot.meanCost,
     )
 }
 
@@ -92,5 +92,4 @@
     val snapshot: PoolSnapshot,
     val served: Map<WorkspaceId, Long>,
     val outcomes: Map<EndpointId, OutcomeReport>,
-    val meanCost: Long,
 )
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/Exchanger.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/Exchanger.kt
@@ -110,7 +110,7 @@
                 val scheduler = parts.runner.scheduler(plan.cell.pool)
                 val outcomes = takeOutcomes(plan.cell, memory, nowMs)
                 val served = scheduler.meter.served(plan.cell)
-                val sources = ReportSources(scheduler.snapshot(nowMs), served, outcomes, scheduler.meanCost())
+                val sources = ReportSources(scheduler.snapshot(nowMs), served, outcomes)
                 cellReport(plan.cell, plan.supports, memory, sources)
             },
         )
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/PoolScheduler.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/PoolScheduler.kt
@@ -23,11 +23,16 @@
     val endpoints: MutableMap<EndpointId, Int> = HashMap(),
 )
 
-/** Shows what one pool does at this router, for reports to allocators and operators. */
+/**
+ * Shows what one pool does at this router, for reports to allocators and operators.
+ *
+ * @property meanCost the mean cost of the requests that ended lately, or 0 where none did.
+ */
 internal class PoolSnapshot(
     val waiting: Map<WorkspaceId, WaitCount>,
     val held: Map<Cell, HeldSlots>,
     val virtual: Map<WorkspaceId, Long>,
+    val meanCost: Long,
 )
 
 /**
@@ -71,6 +76,9 @@
         pump(nowMs)
     }
 
+    /** Stops new work on [endpoint] until the next lease of its cell. */
+    fun trip(endpoint: EndpointId) = lock.withLock { state.slots.trip(endpoint) }
+
     /** Applies a grant and starts what can start. */
     fun onLease(lease: Lease, virtual: Map<WorkspaceId, Long>, deferred: Set<WorkspaceId>, nowMs: Long) {
         lock.withLock { state.onLease(lease, virtual, deferred) }
@@ -92,9 +100,6 @@
 
     fun snapshot(nowMs: Long): PoolSnapshot = lock.withLock { state.snapshot(nowMs) }
 
-    /** Returns the mean cost of the requests that ended lately, or 0 where none did. */
-    fun meanCost(): Long = lock.withLock { state.meanCost.toLong() }
-
     private fun pump(nowMs: Long) {
         generateSequence { lock.withLock { state.next(nowMs) } }.forEach(start)
     }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/PoolState.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/PoolState.kt
@@ -35,9 +35,7 @@
     val queue = FairQueue<RoutedRequest>()
     val slots = SlotTable()
 
-    /** The mean cost of the requests that ended lately, or 0 where none did. */
-    var meanCost = 0.0
-        private set
+    private var meanCost = 0.0
 
     /** Lets [request] wait. Returns false where its workspace already has [limit] waiting. */
     fun enter(request: RoutedRequest, limit: Int): Boolean =
@@ -75,7 +73,7 @@
         }
         val home = free.filterKeys { slots.lender(it) == views.current.endpoints[it]?.cell }
         val remote = free - home.keys
-        return order.sorted(queue.workspaces).asSequence()
+        return order.sorted(queue.workspaces, nowMs) { queue.peek(it)?.arrivedMs ?: nowMs }.asSequence()
             .flatMap { candidates(it, nowMs) }
             .firstNotNullOfOrNull { start(it, home, remote, nowMs) }
     }
@@ -96,6 +94,7 @@
         waiting = queue.workspaces.associateWith { WaitCount(queue.count(it), nowMs - queue.peek(it)!!.arrivedMs) },
         held = held.mapValues { HeldSlots(HashMap(it.value.workspaces), HashMap(it.value.endpoints)) },
         virtual = order.known(),
+        meanCost = meanCost.toLong(),
     )
 
     private fun start(
@@ -109,10 +108,10 @@
         }
         val waited = nowMs - request.arrivedMs >= spillAfterMs
         val chosen = choose(request, home) ?: remote.takeIf { waited }?.let { choose(request, it) }
-        return chosen?.let { views.current.endpoints[it] }?.let { take(request, it) }
+        return chosen?.let { views.current.endpoints[it] }?.let { take(request, it, nowMs) }
     }
 
-    private fun take(request: RoutedRequest, endpoint: Endpoint): Start {
+    private fun take(request: RoutedRequest, endpoint: Endpoint, nowMs: Long): Start {
         val lender = slots.lender(endpoint.id) ?: endpoint.cell
         queue.remove(request)
         slots.acquire(endpoint.id)
@@ -120,6 +119,7 @@
         inUse.workspaces.merge(request.workspace, 1, Int::plus)
         inUse.endpoints.merge(endpoint.id, 1, Int::plus)
         choose.onStart(request, endpoint.id)
+        order.onStart(request.workspace, nowMs)
         val estimate = estimator.estimate(request.workspace).toLong()
         return Start(request, endpoint, lender, CostMeter(request, lender, meter, estimate))
     }
