Read answers on from their engine where a connection breaks

Ruled out: repeating the request (a model does not answer twice alike). Change: engines of a pool marked resumable keep each answer under a random name; the router reads it on with a range request by byte, at once and then every half second for 30 s, and deletes it when the caller leaves. Requests that may not run twice are read from byte 0 where nothing had come. Five process tests: silence, reset with the engine unreachable, a keyed request, a restarted engine (cut off honestly), a caller that leaves.

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/RetryDecision.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/RetryDecision.kt
@@ -19,12 +19,14 @@
      * @property delivered whether the caller has seen a part of the answer.
      * @property reused whether the connection had served an earlier request, so that it may have gone stale unnoticed.
      * @property silent whether the connection is still open but nothing came.
+     * @property atMs when that was seen, in ms of the router's clock.
      */
     public data class Broken(
         val reason: String,
         val delivered: Boolean,
         val reused: Boolean = false,
         val silent: Boolean = false,
+        val atMs: Long = 0,
     ) : AttemptEnd {
         /** Whether the endpoint itself may have crashed. */
         val suspicious: Boolean get() = !reused && !silent
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/Attempt.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/Attempt.kt
@@ -16,10 +16,10 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
-import java.util.concurrent.ScheduledFuture
-import java.util.concurrent.TimeUnit
+import java.util.concurrent.TimeUnit.MILLISECONDS
 
-private const val SILENCE_CHECKS = 4
+private const val RESUME_ANSWER_MS = 2_000L
+private const val RESUME_PERIOD_MS = 500L
 
 /** What an attempt tells its owner, on the request's event loop. */
 internal interface AttemptListener {
@@ -29,6 +29,12 @@
     /** A piece of the answer's body is there. */
     fun onContent(data: ByteBuf)
 
+    /** The answer broke off and its endpoint can't be reached to resume it, so far. */
+    fun onUnreachable()
+
+    /** The answer goes on from byte [offset] of its body. */
+    fun onResumed(offset: Long)
+
     /** The attempt is over; nothing follows. */
     fun onEnd(end: AttemptEnd)
 }
@@ -36,7 +42,8 @@
 /**
  * Sends one request to one endpoint once, and relays the answer to the request's sink.
  *
- * Only used on the request's event loop.
+ * Where the pool's engines keep their streams, an answer that breaks off is read on from the first byte that is
+ * missing. Only used on the request's event loop.
  */
 internal class Attempt(
     private val request: RoutedRequest,
@@ -45,9 +52,10 @@
     private val clock: Clock,
     private val listener: AttemptListener,
 ) {
+    private val stream = if (request.pool.resumable) KeptStream() else null
+    private val silence = SilenceWatch(request.eventLoop, clock) { breakOff(it, silent = true) }
     private var channel: Channel? = null
-    private var timer: ScheduledFuture<*>? = null
-    private var lastReadMs = 0L
+    private var cancelled = false
     private var reused = false
     private var delivered = false
     private var refusedStatus: Int? = null
@@ -59,53 +67,89 @@
         val kept = if (request.repeatable) connections.take(request.eventLoop, endpoint, clock()) else null
         if (kept != null) {
             reused = true
-            send(kept)
-            return
-        }
-        val connecting = connections.connect(request.eventLoop, endpoint, clock())
-        connecting.addListener {
-            when {
-                ended -> connecting.channel().close()
-                connecting.isSuccess -> send(connecting.channel())
-                else -> end(AttemptEnd.NotSent("connect: ${connecting.cause().message}"))
+            send(kept, request.message.encode(endpoint, stream))
+        } else {
+            connect({ send(it, request.message.encode(endpoint, stream)) }) {
+                end(AttemptEnd.NotSent("connect: $it"))
             }
         }
     }
 
-    /** Ends the attempt because the caller left; the endpoint sees its connection closed. */
+    /** Ends the attempt because the caller left; the endpoint sees its connection closed, or the stream cancelled. */
     fun cancel() {
-        channel?.close()
-        end(AttemptEnd.CallerGone)
+        leave()
+        cancelled = true
+        if (stream == null) end(AttemptEnd.CallerGone) else cancel(stream)
     }
 
     /** Reads on or pauses, as the caller's connection allows. */
     fun onWritable(writable: Boolean) {
         channel?.config()?.isAutoRead = writable
-        lastReadMs = clock()
+        silence.onSign()
+    }
+
+    /** Holds the slot until the endpoint has confirmed that it runs the stream no longer. */
+    private fun cancel(stream: KeptStream) {
+        val gone = { end(AttemptEnd.CallerGone) }
+        request.eventLoop.schedule(gone, RESUME_ANSWER_MS, MILLISECONDS)
+        connect({ connected ->
+            connected.pipeline().addLast(EndOfAnswer(gone))
+            connected.writeAndFlush(stream.cancellation(endpoint))
+        }) { gone() }
     }
 
-    private fun send(connected: Channel) {
+    private fun connect(onConnected: (Channel) -> Unit, onFailure: (reason: String?) -> Unit) {
+        val cancels = cancelled
+        val connecting = connections.connect(request.eventLoop, endpoint, clock())
+        connecting.addListener {
+            when {
+                ended || cancelled != cancels -> connecting.channel().close()
+                connecting.isSuccess -> onConnected(connecting.channel())
+                else -> onFailure(connecting.cause().message)
+            }
+        }
+    }
+
+    private fun send(connected: Channel, message: DefaultFullHttpRequest) {
         channel = connected
-        lastReadMs = clock()
         connected.pipeline().addLast(AnswerRelay())
-        connected.writeAndFlush(request.message.encode(endpoint))
-        watchSilence(connected)
+        connected.writeAndFlush(message)
+        val resuming = stream?.resuming == true
+        silence.watch(connected, if (resuming) RESUME_ANSWER_MS else request.pool.silenceLimitMs)
     }
 
-    private fun watchSilence(connected: Channel) {
-        val limit = request.pool.silenceLimitMs
-        val period = maxOf(1, limit / SILENCE_CHECKS)
-        timer = connected.eventLoop().scheduleAtFixedRate({
-            val paused = !connected.config().isAutoRead
-            if (!paused && clock() - lastReadMs > limit) {
-                breakOff("silent for more than $limit ms", silent = true)
-            }
-        }, period, period, TimeUnit.MILLISECONDS)
+    /** Stops to listen to the present connection. */
+    private fun leave() {
+        silence.stop()
+        channel?.let { left ->
+            channel = null
+            left.close()
+        }
     }
 
     private fun breakOff(reason: String, silent: Boolean = false) {
-        channel?.close()
-        end(AttemptEnd.Broken(reason, delivered, reused && !delivered, silent))
+        leave()
+        val broken = AttemptEnd.Broken(reason, delivered, reused && !delivered, silent, clock())
+        val resumes = stream != null && refusedStatus == null && (delivered || !request.repeatable)
+        if (resumes) resume(stream!!, broken) else end(broken)
+    }
+
+    private fun resume(stream: KeptStream, broken: AttemptEnd.Broken) {
+        val nowMs = clock()
+        val tries = stream.onBreak(broken, nowMs)
+        if (tries == 1) {
+            listener.onUnreachable()
+        }
+        if (stream.isLost(nowMs)) {
+            end(stream.firstBreak ?: broken)
+            return
+        }
+        val delayMs = if (tries == 0) 0 else RESUME_PERIOD_MS
+        request.eventLoop.schedule({
+            if (!ended && !cancelled) {
+                connect({ send(it, stream.resumption(endpoint)) }) { breakOff("connect: $it") }
+            }
+        }, delayMs, MILLISECONDS)
     }
 
     private fun end(end: AttemptEnd) {
@@ -113,7 +157,7 @@
             return
         }
         ended = true
-        timer?.cancel(false)
+        silence.stop()
         listener.onEnd(end)
     }
 
@@ -121,33 +165,35 @@
         private var keepAlive = false
 
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
-            lastReadMs = clock()
+            silence.onSign()
             try {
+                if (context.channel() !== channel) return
                 if (message is HttpResponse) onHead(context, message)
-                if (message is HttpContent && !ended) onContent(context, message)
+                if (message is HttpContent && context.channel() === channel) onContent(context, message)
             } finally {
                 ReferenceCountUtil.release(message)
             }
         }
 
         override fun channelInactive(context: ChannelHandlerContext) {
-            breakOff("connection closed in the middle of an answer")
+            if (context.channel() === channel) breakOff("connection closed in the middle of an answer")
         }
 
         @Deprecated("Netty keeps this method for inbound handlers")
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-            breakOff(cause.message ?: cause.javaClass.simpleName)
+            if (context.channel() === channel) breakOff(cause.message ?: cause.javaClass.simpleName)
         }
 
         private fun onHead(context: ChannelHandlerContext, head: HttpResponse) {
-            if (head.decoderResult().isFailure) {
-                breakOff("unreadable answer")
-                context.close()
-                return
-            }
-            if (head.status().code() == HttpResponseStatus.CONTINUE.code()) {
-                return
+            when {
+                head.decoderResult().isFailure -> breakOff("unreadable answer")
+                head.status().code() == HttpResponseStatus.CONTINUE.code() -> Unit
+                stream?.resuming == true -> onResumedHead(context, stream, head)
+                else -> onFirstHead(head)
             }
+        }
+
+        private fun onFirstHead(head: HttpResponse) {
             status = head.status().code()
             keepAlive = HttpUtil.isKeepAlive(head)
             listener.onFirstByte()
@@ -159,12 +205,29 @@
             }
         }
 
+        private fun onResumedHead(context: ChannelHandlerContext, stream: KeptStream, head: HttpResponse) {
+            if (head.status() != HttpResponseStatus.PARTIAL_CONTENT) {
+                leave()
+                end(stream.firstBreak ?: AttemptEnd.Broken("the stream is gone", delivered, atMs = clock()))
+                return
+            }
+            listener.onResumed(stream.offset)
+            stream.onResumed()
+            silence.watch(context.channel(), request.pool.silenceLimitMs)
+            if (!delivered) {
+                head.status = HttpResponseStatus.OK
+                head.headers().remove(HttpHeaderNames.CONTENT_RANGE)
+                onFirstHead(head)
+            }
+        }
+
         private fun onContent(context: ChannelHandlerContext, content: HttpContent) {
             if (content.decoderResult().isFailure) {
                 breakOff("unreadable answer")
                 return
             }
             if (refusedStatus == null && content.content().isReadable) {
+                stream?.onDelivered(content.content().readableBytes())
                 listener.onContent(content.content())
                 request.sink.content(content.content().retain())
                 context.channel().config().isAutoRead = request.sink.writable
@@ -175,6 +238,7 @@
         }
 
         private fun onLast(context: ChannelHandlerContext) {
+            channel = null
             context.pipeline().remove(this)
             if (keepAlive) connections.keep(context.channel(), endpoint, clock()) else context.close()
             val refused = refusedStatus
@@ -186,13 +250,29 @@
     }
 }
 
+/** Runs [action] when an answer has ended, in whatever way. */
+private class EndOfAnswer(private val action: () -> Unit) : ChannelInboundHandlerAdapter() {
+    override fun channelRead(context: ChannelHandlerContext, message: Any) {
+        ReferenceCountUtil.release(message)
+        if (message is LastHttpContent) context.close()
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) = action()
+
+    @Deprecated("Netty keeps this method for inbound handlers")
+    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        context.close()
+    }
+}
+
 private fun HttpResponseStatus.refuses(): Boolean =
     this == HttpResponseStatus.TOO_MANY_REQUESTS || this == HttpResponseStatus.SERVICE_UNAVAILABLE
 
-private fun OutgoingMessage.encode(endpoint: Endpoint): DefaultFullHttpRequest {
+private fun OutgoingMessage.encode(endpoint: Endpoint, stream: KeptStream?): DefaultFullHttpRequest {
     val message = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path, Unpooled.wrappedBuffer(body))
     message.headers().set(headers)
     message.headers().set(HttpHeaderNames.HOST, endpoint.address)
+    stream?.let { message.headers().set(STREAM_HEADER, it.id) }
     if (body.isNotEmpty()) {
         message.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.size)
     }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/CrashReports.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/CrashReports.kt
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.TimeUnit
+import kotlin.math.abs
 
 private const val UPTIME_SLACK_MS = 500L
 private const val ASSESSMENT_MS = 5_000L
@@ -37,12 +38,15 @@
     private val probes = ConcurrentHashMap<EndpointId, Probe>()
     private val quarantine = Quarantine(QUARANTINE_MS)
 
-    /** Probes [endpoint] after a break and, where it crashed, suspects [fingerprint]. Completes once that is known. */
-    fun assess(fingerprint: String, endpoint: Endpoint): CompletableFuture<Boolean> {
-        val nowMs = clock()
+    /**
+     * Probes [endpoint] after a break at [brokeMs] and, where it crashed, suspects [fingerprint].
+     *
+     * Completes once that is known.
+     */
+    fun assess(fingerprint: String, endpoint: Endpoint, brokeMs: Long): CompletableFuture<Boolean> {
         val probe = probes.compute(endpoint.id) { _, known ->
-            val recent = known?.takeIf { nowMs - it.atMs < SHARED_PROBE_MS }
-            recent ?: Probe(nowMs, assess(endpoint, nowMs))
+            val recent = known?.takeIf { abs(brokeMs - it.atMs) < SHARED_PROBE_MS }
+            recent ?: Probe(brokeMs, assess(endpoint, brokeMs, clock()))
         }
         return probe!!.crashed.thenApply { crashed ->
             if (crashed) suspect(Suspicion(fingerprint, endpoint.id, "${endpoint.id}@${probe.atMs}", time()))
@@ -80,15 +84,15 @@
     }
 
     /** Asks until the endpoint answers: a crash has left it down, or up for less time than since the break. */
-    private fun assess(endpoint: Endpoint, brokeMs: Long): CompletableFuture<Boolean> =
+    private fun assess(endpoint: Endpoint, brokeMs: Long, beganMs: Long): CompletableFuture<Boolean> =
         loads.ask(endpoint).thenCompose { answer ->
-            val sinceMs = clock() - brokeMs
+            val nowMs = clock()
             when {
                 answer is LoadAnswer.Down -> CompletableFuture.completedFuture(true)
                 answer is LoadAnswer.Known ->
-                    CompletableFuture.completedFuture(answer.load.uptimeMs < sinceMs + UPTIME_SLACK_MS)
-                sinceMs > ASSESSMENT_MS -> CompletableFuture.completedFuture(false)
-                else -> later().thenCompose { assess(endpoint, brokeMs) }
+                    CompletableFuture.completedFuture(answer.load.uptimeMs < nowMs - brokeMs + UPTIME_SLACK_MS)
+                nowMs - beganMs > ASSESSMENT_MS -> CompletableFuture.completedFuture(false)
+                else -> later().thenCompose { assess(endpoint, brokeMs, beganMs) }
             }
         }
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/OutcomeLedger.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/OutcomeLedger.kt
@@ -14,6 +14,11 @@
         counts.merge(endpoint, one) { sum, next -> sum + next }
     }
 
+    /** Counts a break whose request may still be resumed. */
+    fun onBreak(endpoint: EndpointId) {
+        counts.merge(endpoint, OutcomeReport(broken = 1)) { sum, next -> sum + next }
+    }
+
     /** Returns whether a break at one of [endpoints] has not been reported yet. */
     fun anyBroken(endpoints: Collection<EndpointId>): Boolean = endpoints.any { (counts[it]?.broken ?: 0) > 0 }
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/RequestRunner.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/RequestRunner.kt
@@ -126,6 +126,20 @@
 
         override fun onContent(data: ByteBuf) = meter.onContent(data)
 
+        override fun onUnreachable() {
+            outcomes.onBreak(endpoint.id)
+            connections.discard(endpoint.id)
+            scheduler(request.pool.id).trip(endpoint.id)
+        }
+
+        override fun onResumed(offset: Long) {
+            logger.event("stream_resumed") {
+                field("request", request.identity.id)
+                field("endpoint", endpoint.id)
+                field("offset", offset)
+            }
+        }
+
         override fun onEnd(end: AttemptEnd) {
             request.attempt = null
             val elapsedMs = clock() - startedMs
@@ -141,7 +155,7 @@
             val broken = end is AttemptEnd.NotSent || end is AttemptEnd.Broken && !end.reused
             scheduler(request.pool.id).finish(start, cost, broken, clock())
             if (end is AttemptEnd.Broken && end.suspicious) {
-                crashes.assess(request.identity.fingerprint, endpoint)
+                crashes.assess(request.identity.fingerprint, endpoint, end.atMs)
                     .whenCompleteAsync({ _, _ -> follow(decide(end, clock()), end) }, request.eventLoop)
             } else {
                 follow(decide(end, clock()), end)
--- a/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/FleetPlan.kt
+++ b/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/FleetPlan.kt
@@ -90,6 +90,7 @@
             coldLimit = engine.coldBatch,
             endpointLimit = engine.batch,
             silenceLimitMs = silenceLimitMs,
+            resumable = engine.resumable,
         )
         val orders = Pool(
             ORDERS,
--- a/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/GenerationRun.kt
+++ b/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/GenerationRun.kt
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.concurrent.EventExecutor
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.booleanOrNull
 import kotlinx.serialization.json.intOrNull
@@ -35,19 +36,27 @@
 }
 
 /**
- * Writes the tokens of one generation at the engine's pace.
+ * Generates the tokens of one request at the engine's pace and writes them to whichever connection reads them.
+ *
+ * The text is kept, so that a resumable engine can send it again from any byte. Runs on [loop].
  *
  * @param finish frees the place in the batch; returns false where the request is no longer running.
  */
 internal class GenerationRun(
-    private val context: ChannelHandlerContext,
+    private val loop: EventExecutor,
     private val generation: Generation,
     private val behaviour: EngineBehaviour,
     private val finish: () -> Boolean,
 ) {
+    private val text = StringBuilder()
+    private var reader: ChannelHandlerContext? = null
+    private var headed = false
     private var sent = 0
+    private var stopped = false
+    private var complete = false
 
-    fun begin() {
+    fun begin(context: ChannelHandlerContext) {
+        reader = context
         if (generation.streamed) {
             after(behaviour.firstTokenMs, ::step)
         } else {
@@ -55,45 +64,82 @@
         }
     }
 
+    /** Lets [context] read the answer from byte [offset] on, instead of any other reader. */
+    fun resume(context: ChannelHandlerContext, offset: Int) = loop.execute {
+        reader = context
+        headed = true
+        val head = head(HttpResponseStatus.PARTIAL_CONTENT)
+        head.headers().set(HttpHeaderNames.CONTENT_RANGE, "bytes $offset-${Long.MAX_VALUE}/*")
+        context.write(head)
+        context.writeAndFlush(content(text.substring(offset.coerceAtMost(text.length))))
+        if (complete) {
+            context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+        }
+    }
+
+    /** Generates nothing more and tells [onStopped]. */
+    fun stop(onStopped: () -> Unit = {}) = loop.execute {
+        stopped = true
+        finish()
+        onStopped()
+    }
+
     private fun step() {
-        if (!context.channel().isActive) {
+        if (stopped || !behaviour.resumable && reader?.channel()?.isActive != true) {
             return
         }
-        if (sent == 0) {
-            writeHead()
-        }
         sent++
-        context.writeAndFlush(event("{\"choices\":[{\"delta\":{\"content\":\"${generation.word}-$sent \"}}]}"))
+        write(event("{\"choices\":[{\"delta\":{\"content\":\"${generation.word}-$sent \"}}]}"))
         if (sent < generation.tokens) {
             after(behaviour.tokenMs, ::step)
-        } else if (finish()) {
-            context.write(event("[DONE]"))
-            context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+        } else {
+            end(event("[DONE]"))
         }
     }
 
-    private fun writeHead() {
-        val head = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK)
-        head.headers()
-            .set(HttpHeaderNames.CONTENT_TYPE, "text/event-stream")
-            .set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
-        context.write(head)
-    }
-
     private fun answerWhole() {
-        if (finish()) {
-            val text = (1..generation.tokens).joinToString(" ") { "${generation.word}-$it" }
-            context.answerJson(
-                "{\"choices\":[{\"message\":{\"role\":\"assistant\",\"content\":\"$text\"}}]," +
+        if (!stopped) {
+            val words = (1..generation.tokens).joinToString(" ") { "${generation.word}-$it" }
+            end(
+                "{\"choices\":[{\"message\":{\"role\":\"assistant\",\"content\":\"$words\"}}]," +
                     "\"usage\":{\"prompt_tokens\":1,\"completion_tokens\":${generation.tokens}}}",
             )
         }
     }
 
-    private fun after(delayMs: Long, action: () -> Unit) {
-        context.executor().schedule(action, delayMs, TimeUnit.MILLISECONDS)
+    private fun end(last: String) {
+        if (finish()) {
+            complete = true
+            write(last)
+            reader?.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+        }
     }
 
-    private fun event(data: String): DefaultHttpContent =
-        DefaultHttpContent(Unpooled.copiedBuffer("data: $data\n\n", Charsets.UTF_8))
+    private fun write(piece: String) {
+        text.append(piece)
+        val context = reader ?: return
+        if (!headed) {
+            headed = true
+            context.write(head(HttpResponseStatus.OK))
+        }
+        context.writeAndFlush(content(piece))
+    }
+
+    private fun head(status: HttpResponseStatus): DefaultHttpResponse {
+        val type = if (generation.streamed) "text/event-stream" else "application/json"
+        val head = DefaultHttpResponse(HttpVersion.HTTP_1_1, status)
+        head.headers()
+            .set(HttpHeaderNames.CONTENT_TYPE, type)
+            .set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+        return head
+    }
+
+    private fun after(delayMs: Long, action: () -> Unit) {
+        loop.schedule(action, delayMs, TimeUnit.MILLISECONDS)
+    }
 }
+
+private fun event(data: String): String = "data: $data\n\n"
+
+private fun content(text: String): DefaultHttpContent =
+    DefaultHttpContent(Unpooled.copiedBuffer(text, Charsets.UTF_8))
--- a/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/ModelEngineStandIn.kt
+++ b/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/ModelEngineStandIn.kt
@@ -27,6 +27,7 @@
  * @property tokenMs the time between tokens, in ms.
  * @property loadLagMs how far its published load lags behind, in ms.
  * @property downMs how long it is gone after a crash, in ms.
+ * @property resumable whether it keeps streams that nobody reads, to be read on later.
  */
 public data class EngineBehaviour(
     val batch: Int = 8,
@@ -36,6 +37,7 @@
     val tokenMs: Long = 5,
     val loadLagMs: Long = 200,
     val downMs: Long = 1_000,
+    val resumable: Boolean = false,
 )
 
 /**
@@ -47,9 +49,10 @@
     private val group: EventLoopGroup,
     private val behaviour: EngineBehaviour = EngineBehaviour(),
 ) : AutoCloseable {
-    private val running = ConcurrentHashMap<Channel, Generation>()
+    private val running = ConcurrentHashMap<Generation, Channel>()
+    private val streams = KeptRuns(group)
     private val starts = AtomicInteger()
-    private val server = EndpointServer(group, ::onRequest) { running.remove(it) }
+    private val server = EndpointServer(group, ::onRequest, ::onClosed)
 
     @Volatile
     private var startedMs = nowMs()
@@ -94,6 +97,7 @@
         crashes.incrementAndGet()
         server.crash()
         running.clear()
+        streams.clear()
         group.schedule({ begin() }, behaviour.downMs, TimeUnit.MILLISECONDS)
     }
 
@@ -118,18 +122,33 @@
     private fun isCold(): Boolean = nowMs() < coldUntilMs
 
     private fun onRequest(context: ChannelHandlerContext, request: FullHttpRequest) {
-        if (request.uri() == "/load") {
-            context.answerJson(wireJson.encodeToString(published.copy(uptimeMs = nowMs() - startedMs)))
-            return
+        when {
+            request.uri() == "/load" ->
+                context.answerJson(wireJson.encodeToString(published.copy(uptimeMs = nowMs() - startedMs)))
+            request.uri().startsWith(STREAMS_PATH) -> streams.onRequest(context, request)
+            else -> generate(context, request)
+        }
+    }
+
+    /** A resumable engine goes on with what nobody reads any more. */
+    private fun onClosed(channel: Channel) {
+        if (!behaviour.resumable) {
+            running.values.remove(channel)
         }
+    }
+
+    private fun generate(context: ChannelHandlerContext, request: FullHttpRequest) {
         val generation = parseGeneration(request)
         started.incrementAndGet()
         val bears = if (isCold()) behaviour.coldBatch else behaviour.batch
         when {
             CRASH_MARK in generation.prompt -> crash()
             running.size < bears -> {
-                running[context.channel()] = generation
-                GenerationRun(context, generation, behaviour) { running.remove(context.channel(), generation) }.begin()
+                running[generation] = context.channel()
+                val finish = { running.remove(generation) != null }
+                val run = GenerationRun(context.executor(), generation, behaviour, finish)
+                streams.keep(request, run)
+                run.begin(context)
             }
             isCold() -> {
                 overruns.incrementAndGet()
--- /dev/null
+++ b/corneltrack-testbed/src/test/kotlin/corneltrack/testbed/ResumeTest.kt
@@ -0,0 +1,76 @@
+package corneltrack.testbed
+
+import corneltrack.world.EndpointId
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+class ResumeTest {
+    private val fleet = smallFleet { engine = EngineBehaviour(batch = 4, tokenMs = 10, coldMs = 1, resumable = true) }
+    private val client = CallerClient(fleet.group)
+    private val engine = fleet.engines.getValue(EndpointId("north-engine-1"))
+    private val links get() = fleet.proxies.matching { it.from == "north-router-1" && it.to == "north-engine-1" }
+
+    @AfterTest
+    fun stop() = fleet.close()
+
+    @Test
+    fun `a stream whose connection falls silent for good comes whole over another one`() {
+        val call = streamHalf("silent")
+        links.forEach { it.silenceOpenConnections() }
+        assertWhole(call, "silent")
+    }
+
+    @Test
+    fun `a stream whose connection breaks comes whole, also when the engine can't be reached for some seconds`() {
+        val call = streamHalf("broken")
+        links.forEach { it.inject(LinkFault.CUT) }
+        await("the engine to finish alone") { engine.runningNow == 0 }
+        links.forEach { it.inject(LinkFault.NONE) }
+        assertWhole(call, "broken")
+    }
+
+    @Test
+    fun `a keyed request whose answer has not begun when the connection breaks gets it all the same`() {
+        val headers = mapOf("idempotency-key" to "key-1")
+        links.forEach { it.inject(LinkFault.LOST_ANSWERS) }
+        val call = client.call(fleet.router("north").callers, chat(fleet.workspace, "keyed", TOKENS, headers = headers))
+        await("the engine to run it") { engine.started.get() == 1L }
+        links.forEach { it.inject(LinkFault.NONE) }
+        assertWhole(call, "keyed")
+        assertEquals(1, fleet.engines.values.sumOf { it.started.get() })
+    }
+
+    @Test
+    fun `a stream that its restarted engine no longer knows is cut off and never looks whole`() {
+        val call = streamHalf("lost")
+        engine.crash()
+        val result = call.join()
+        assertTrue(!result.complete && "[DONE]" !in result.body, "$result")
+    }
+
+    @Test
+    fun `a caller that leaves lets the engine drop its stream`() {
+        val call = streamHalf("left", tokens = 100_000)
+        call.hangUp()
+        await("the engine to be free") { engine.runningNow == 0 }
+    }
+
+    private fun streamHalf(word: String, tokens: Int = TOKENS): OpenCall {
+        val data = StringBuffer()
+        val call = client.call(fleet.router("north").callers, chat(fleet.workspace, word, tokens)) { data.append(it) }
+        await("the answer to begin") { "$word-20 " in data }
+        assertEquals(1, engine.runningNow)
+        return call
+    }
+
+    private fun assertWhole(call: OpenCall, word: String) {
+        val result = call.join()
+        assertTrue(result.isOwnStream(word, TOKENS), "$result")
+    }
+
+    private companion object {
+        const val TOKENS = 200
+    }
+}
--- a/corneltrack-world/src/main/kotlin/corneltrack/world/Pool.kt
+++ b/corneltrack-world/src/main/kotlin/corneltrack/world/Pool.kt
@@ -27,6 +27,8 @@
  * @property endpointLimit the most concurrent requests ever sent to one endpoint.
  * @property deadlineMs the time from arrival to the latest start of a request without a deadline header, in ms.
  * @property silenceLimitMs the longest silence of an open answer before it counts as lost, in ms.
+ * @property resumable whether the engines of a model pool keep their streams for a while, so that one whose connection
+ * breaks can be read on from any byte.
  * @property repeatableMethods the HTTP methods of a plain service that are idempotent.
  */
 @Serializable
@@ -39,6 +41,7 @@
     val deadlineMs: Long = DEFAULT_DEADLINE_MS,
     val silenceLimitMs: Long = DEFAULT_SILENCE_LIMIT_MS,
     val repeatableMethods: Set<String> = setOf("GET", "HEAD", "OPTIONS"),
+    val resumable: Boolean = false,
 ) {
     /** Adds a finding below [place] for each value out of range. */
     public fun check(place: String, findings: Findings) {
@@ -46,6 +49,7 @@
         findings.require(id.value.isNotBlank(), "$place.id", "a name", id)
         findings.require(routed, "$place.route", "a path that starts with /", route)
         findings.require(route != "/v1" && route?.startsWith("/v1/") != true, "$place.route", "not below /v1", route)
+        findings.require(!resumable || kind == PoolKind.MODEL, "$place.resumable", "false for a service", resumable)
         findings.require(endpointLimit in 1..MAXIMUM_ENDPOINT_LIMIT, "$place.endpointLimit", "1..4096", endpointLimit)
         findings.require(coldLimit in 1..endpointLimit, "$place.coldLimit", "1..endpointLimit", coldLimit)
         findings.require(deadlineMs in 1..MAXIMUM_TIME_MS, "$place.deadlineMs", "1..3600000", deadlineMs)
