Assume that a silent cell serves on, and let callers of a dead router go to another one

Change: the service of other cells is kept by cell, and one that falls silent is assumed to serve on at its last rates for up to ten minutes; its next report replaces the assumption. The load driver sends the calls of a dead router to its neighbours. The shape of the measured load has a file of its own.

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/CellAllocator.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/CellAllocator.kt
@@ -140,7 +140,7 @@
         if (report.borrower == null) {
             service.chargeLocal(holder.origin, totals, complete = report.acknowledged == 0L)
         } else {
-            service.chargeRemote(holder.origin, totals)
+            service.chargeRemote(report.borrower, holder.origin, totals, nowMs)
         }
         report.outcomes.forEach { (id, outcomes) ->
             if (!book.onOutcomes(id, outcomes, inFlight(id) + outcomes.successes, nowMs)) {
@@ -177,6 +177,7 @@
         dividedMs = nowMs
         val demands = holders.all.flatMap { it.demands() }
         val backlogged = demands.filter { it.waiting > 0 }.mapTo(HashSet()) { it.workspace }
+        service.assumeRemote(nowMs)
         service.advance(backlogged)
         val slots = capacity.usable(nowMs)
         val step = quantum * QUANTUM_REQUESTS
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/VirtualService.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/VirtualService.kt
@@ -1,5 +1,6 @@
 package corneltrack.policy
 
+import corneltrack.world.Cell
 import corneltrack.world.WorkspaceId
 
 /**
@@ -14,6 +15,7 @@
 public class VirtualService(private val weightOf: (WorkspaceId) -> Double) {
     private val virtual = HashMap<WorkspaceId, Double>()
     private val totalsByOrigin = HashMap<String, HashMap<WorkspaceId, Long>>()
+    private val remote = RemoteService()
     private val counted = HashMap<WorkspaceId, Long>()
 
     /** Returns the virtual service of [workspace]. */
@@ -39,11 +41,17 @@
         charge(origin, totals).forEach { (workspace, added) -> counted.merge(workspace, added, Long::plus) }
     }
 
-    /** Adds what another cell, named by [origin], has served beyond its last known [totals]. */
-    public fun chargeRemote(origin: String, totals: Map<WorkspaceId, Long>) {
-        charge(origin, totals)
+    /** Adds what [cell], whose allocator's incarnation is named by [origin], served beyond its last known [totals]. */
+    public fun chargeRemote(cell: Cell, origin: String, totals: Map<WorkspaceId, Long>, nowMs: Long) {
+        add(remote.onReport(cell, origin, totals, nowMs))
     }
 
+    /** Adds what cells that have fallen silent are assumed to serve. */
+    public fun assumeRemote(nowMs: Long): Unit = add(remote.assume(nowMs))
+
+    private fun add(costs: Map<WorkspaceId, Double>) =
+        costs.forEach { (workspace, cost) -> virtual.merge(workspace, cost / weightOf(workspace), Double::plus) }
+
     /** Forgets an origin that is gone. */
     public fun forget(origin: String) {
         totalsByOrigin.remove(origin)
--- a/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/FleetProbe.kt
+++ b/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/FleetProbe.kt
@@ -8,7 +8,7 @@
 
 private const val USE_PERIOD_MS = 20L
 private const val SERVICE_PERIOD_MS = 100L
-private const val LENT_PERIOD_MS = 500L
+private const val LENT_PERIOD_MS = 2_000L
 private const val TICKS_PER_SECOND = 100.0
 private const val USER_FIELD = 11
 private const val SYSTEM_FIELD = 12
--- a/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/LoadDriver.kt
+++ b/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/LoadDriver.kt
@@ -10,8 +10,17 @@
 private const val RETRY_MS = 100L
 private val EVENT = Regex("data: \\{")
 
-/** Keeps [calls] requests of one workspace under way at the router at [address], so that some always wait. */
-public data class Backlog(val workspace: WorkspaceId, val address: String, val calls: Int)
+/**
+ * Keeps [calls] requests of one workspace under way at the router at [address], so that some always wait.
+ *
+ * @property others where a balancer sends them once nobody listens at [address].
+ */
+public data class Backlog(
+    val workspace: WorkspaceId,
+    val address: String,
+    val calls: Int,
+    val others: List<String> = emptyList(),
+)
 
 /** Counts what callers saw. */
 public class CallCounts {
@@ -46,6 +55,7 @@
     private val served = ConcurrentHashMap<WorkspaceId, AtomicLong>()
     private val sequence = AtomicLong()
     private val open = AtomicInteger()
+    private val unreachable: MutableSet<String> = ConcurrentHashMap.newKeySet()
 
     @Volatile
     private var stopped = false
@@ -78,17 +88,24 @@
         }
         val tokens = tokensOf(backlog.workspace)
         val word = "${backlog.workspace}x${sequence.incrementAndGet()}"
+        val address = addressOf(backlog)
         val counter = served.computeIfAbsent(backlog.workspace) { AtomicLong() }
         open.incrementAndGet()
-        client.call(backlog.address, chat(backlog.workspace, word, tokens)) { data ->
+        client.call(address, chat(backlog.workspace, word, tokens)) { data ->
             counter.addAndGet(EVENT.findAll(data).count().toLong())
         }.result.thenAccept { result ->
             open.decrementAndGet()
             count(result, word, tokens)
+            if (!result.connected) unreachable += address
             if (result.status == OK) next(backlog) else later { next(backlog) }
         }
     }
 
+    private fun addressOf(backlog: Backlog): String {
+        val others = backlog.others.filter { it !in unreachable }
+        return if (backlog.address in unreachable && others.isNotEmpty()) others.random() else backlog.address
+    }
+
     private fun count(result: CallResult, word: String, tokens: Int) {
         val counter = when {
             result.isOwnStream(word, tokens) -> counts.whole
--- a/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/Scenario.kt
+++ b/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/Scenario.kt
@@ -5,9 +5,7 @@
 import corneltrack.world.TakeOut
 import corneltrack.world.Target
 import corneltrack.world.TargetKind
-import corneltrack.world.WorkspaceId
 
-private const val FLOOD_FACTOR = 10
 private const val SETTLE_MS = 3_000L
 
 /** What happens to a fleet during a measurement. */
@@ -43,33 +41,11 @@
         dataCentre(it, routers = ROUTERS_PER_REGION, engines = ENGINES_PER_REGION, services = 1)
     }
     workspaces = WORKSPACES
-    engine = EngineBehaviour(batch = BATCH, firstTokenMs = FIRST_TOKEN_MS, tokenMs = TOKEN_MS)
+    engine = EngineBehaviour(batch = BATCH, firstTokenMs = FIRST_TOKEN_MS, tokenMs = TOKEN_MS, resumable = true)
     regionDelayMs = REGION_DELAY_MS
     listLagMs = LIST_LAG_MS
 }
 
-/** The tokens of each request of [workspace]; the largest is [LARGEST_COST]. */
-internal fun tokensOf(workspace: WorkspaceId): Int = when (numberOf(workspace) % SIZES) {
-    0 -> LARGEST_COST
-    1 -> MEDIUM_COST
-    else -> SMALL_COST
-}
-
-/** Spreads workspaces unevenly: a few large ones at all routers, most small ones in the first region. */
-internal fun unevenBacklogs(fleet: TestFleet, flooding: Boolean): List<Backlog> {
-    val regions = fleet.routers.groupBy { it.id.substringBefore('-') }.values.toList()
-    return fleet.plan.workspaces.flatMap { workspace ->
-        val number = numberOf(workspace)
-        val flood = if (flooding && number == 1) FLOOD_FACTOR else 1
-        when {
-            number <= LARGE -> fleet.routers.map { Backlog(workspace, it.callers, LARGE_CALLS * flood) }
-            number <= LARGE + FIRST_REGION -> regions[0].map { Backlog(workspace, it.callers, SMALL_CALLS) }
-            number % 2 == 0 -> regions[1].map { Backlog(workspace, it.callers, SMALL_CALLS) }
-            else -> regions[2].map { Backlog(workspace, it.callers, SMALL_CALLS) }
-        }
-    }
-}
-
 /** Runs the disturbance of [scenario] within [lengthMs] and returns what else was seen. */
 internal fun disturb(scenario: Scenario, fleet: TestFleet, probe: FleetProbe, lengthMs: Long): String =
     when (scenario) {
@@ -146,13 +122,6 @@
 private fun started(fleet: TestFleet, dataCentre: DataCentreId): Long =
     fleet.engines.filterKeys { it.value.startsWith("$dataCentre-") }.values.sumOf { it.started.get() }
 
-private fun numberOf(workspace: WorkspaceId): Int = workspace.value.filter { it.isDigit() }.toInt()
-
-/** The tokens of the largest request. */
-internal const val LARGEST_COST: Int = 100
-private const val MEDIUM_COST = 50
-private const val SMALL_COST = 25
-private const val SIZES = 4
 private const val ROUTERS_PER_REGION = 3
 private const val ENGINES_PER_REGION = 4
 private const val WORKSPACES = 16
@@ -161,8 +130,4 @@
 private const val TOKEN_MS = 20L
 private const val REGION_DELAY_MS = 15L
 private const val LIST_LAG_MS = 3_000L
-private const val LARGE = 3
-private const val FIRST_REGION = 8
-private const val LARGE_CALLS = 4
-private const val SMALL_CALLS = 8
 private const val QUARTERS = 4
