Read the platform's list by its version and compress long control messages

Cause: each router read the whole list each second: 518 KB/s at the design size (CAPACITY.md). Change: reads name the entity tag of the list that is known, and status 304 confirms it; answers of 4 KiB and more are sent in gzip to those who accept it (lists, log pages, configurations).

--- a/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/InstanceListStandIn.kt
+++ b/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/InstanceListStandIn.kt
@@ -1,14 +1,19 @@
 package corneltrack.testbed
 
+import corneltrack.wire.Content
+import corneltrack.wire.ControlResponse
 import corneltrack.wire.ControlServer
 import corneltrack.wire.HostAndPort
 import corneltrack.wire.errorResponse
-import corneltrack.wire.jsonResponse
+import corneltrack.wire.wireJson
 import corneltrack.world.FleetList
 import io.netty.channel.EventLoopGroup
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.QueryStringDecoder
+import kotlinx.serialization.encodeToString
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicInteger
 
 /** Returns the fleet list as [requester] sees it, for example with the addresses of proxies in between. */
 public typealias ListView = (requester: String, list: FleetList) -> FleetList
@@ -24,10 +29,13 @@
         if (down) {
             errorResponse(HttpResponseStatus.SERVICE_UNAVAILABLE, "the list is down")
         } else {
-            jsonResponse(view(requester, shown))
+            CompletableFuture.completedFuture(answer(view(requester, shown), request.knownVersion))
         }
     }
 
+    /** The times at which a whole list was sent. */
+    public val sent: AtomicInteger = AtomicInteger()
+
     @Volatile
     private var shown = FleetList()
 
@@ -58,5 +66,14 @@
         }
     }
 
+    private fun answer(list: FleetList, known: String?): ControlResponse {
+        val version = "\"${list.hashCode().toUInt()}\""
+        if (version == known) {
+            return ControlResponse(HttpResponseStatus.NOT_MODIFIED, version = version)
+        }
+        sent.incrementAndGet()
+        return ControlResponse(HttpResponseStatus.OK, Content.of(wireJson.encodeToString(list)), version = version)
+    }
+
     override fun close(): Unit = server.close()
 }
--- a/corneltrack-wire/src/main/kotlin/corneltrack/wire/ControlClient.kt
+++ b/corneltrack-wire/src/main/kotlin/corneltrack/wire/ControlClient.kt
@@ -17,7 +17,10 @@
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.FullHttpResponse
 import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpContentDecompressor
 import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
@@ -95,6 +98,7 @@
                     channel.pipeline().addLast(
                         CountingHandler { sent, received -> traffic(address, sent, received) },
                         HttpClientCodec(),
+                        HttpContentDecompressor(MAXIMUM_ANSWER_BYTES),
                         HttpObjectAggregator(MAXIMUM_ANSWER_BYTES),
                     )
                 }
@@ -146,6 +150,10 @@
     if (payload.isReadable) {
         message.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, payload.readableBytes())
     }
+    knownVersion?.let { message.headers().set(HttpHeaderNames.IF_NONE_MATCH, it) }
+    if (method == HttpMethod.GET) {
+        message.headers().set(HttpHeaderNames.ACCEPT_ENCODING, HttpHeaderValues.GZIP)
+    }
     secret?.takeIf { withSecret }?.let { message.headers().set(HttpHeaderNames.AUTHORIZATION, "Bearer $it") }
     return message
 }
@@ -158,7 +166,8 @@
         val content = Content(ByteBufUtil.getBytes(message.content()))
         context.pipeline().remove(this)
         onEnd(HttpUtil.isKeepAlive(message))
-        result.complete(ControlResult.Answered(message.status().code(), content))
+        val version = message.headers().get(HttpHeaderNames.ETAG)
+        result.complete(ControlResult.Answered(message.status().code(), content, version))
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
--- a/corneltrack-wire/src/main/kotlin/corneltrack/wire/ControlMessages.kt
+++ b/corneltrack-wire/src/main/kotlin/corneltrack/wire/ControlMessages.kt
@@ -15,12 +15,14 @@
  * @property path the path with its query.
  * @property content the body; empty by default.
  * @property secret the peers' secret, sent as a bearer token; null for none.
+ * @property knownVersion the entity tag of an answer that the sender has; status 304 confirms that it still holds.
  */
 public data class ControlRequest(
     val method: HttpMethod,
     val path: String,
     val content: Content = Content.EMPTY,
     val secret: String? = null,
+    val knownVersion: String? = null,
 ) {
     /** The body as text. */
     val body: String get() = content.text
@@ -36,11 +38,13 @@
  * Answers a [ControlRequest].
  *
  * @property contentType the media type of [content], or null where both sides know it.
+ * @property version the entity tag of [content], or null where it has none.
  */
 public data class ControlResponse(
     val status: HttpResponseStatus,
     val content: Content = Content.EMPTY,
     val contentType: String? = null,
+    val version: String? = null,
 ) {
     /** Makes an answer with a [body] of text. */
     public constructor(status: HttpResponseStatus, body: String, contentType: String = JSON_TYPE) :
@@ -50,7 +54,11 @@
 /** Tells what became of a [ControlRequest]. */
 public sealed interface ControlResult {
     /** The other side answered. */
-    public data class Answered(val status: Int, val content: Content) : ControlResult {
+    public data class Answered(
+        val status: Int,
+        val content: Content,
+        val version: String? = null,
+    ) : ControlResult {
         /** The body as text. */
         val body: String get() = content.text
 
--- a/corneltrack-wire/src/main/kotlin/corneltrack/wire/ControlServer.kt
+++ b/corneltrack-wire/src/main/kotlin/corneltrack/wire/ControlServer.kt
@@ -12,8 +12,10 @@
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.compression.StandardCompressionOptions
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpContentCompressor
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.handler.codec.http.HttpResponseStatus
@@ -26,6 +28,7 @@
 import java.security.MessageDigest
 
 private const val MAXIMUM_BODY_BYTES = 16 * 1024 * 1024
+private const val COMPRESSED_FROM_BYTES = 4_096
 private const val BEARER = "Bearer "
 private val logger = LogManager.getLogger("corneltrack.wire.ControlServer")
 
@@ -55,8 +58,12 @@
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(child: SocketChannel) {
-                    child.pipeline()
-                        .addLast(HttpServerCodec(), HttpObjectAggregator(MAXIMUM_BODY_BYTES), RequestHandler())
+                    child.pipeline().addLast(
+                        HttpServerCodec(),
+                        HttpObjectAggregator(MAXIMUM_BODY_BYTES),
+                        HttpContentCompressor(COMPRESSED_FROM_BYTES, StandardCompressionOptions.gzip()),
+                        RequestHandler(),
+                    )
                 }
             })
         channel = bootstrap.bind(address.toSocketAddress()).sync().channel()
@@ -87,7 +94,8 @@
                 return
             }
             val content = Content(ByteBufUtil.getBytes(message.content()))
-            val request = ControlRequest(message.method(), message.uri(), content)
+            val known = message.headers().get(HttpHeaderNames.IF_NONE_MATCH)
+            val request = ControlRequest(message.method(), message.uri(), content, knownVersion = known)
             handler(request).whenComplete { response, failure ->
                 if (failure != null) {
                     logger.event("control_failed", Level.WARN) {
@@ -116,6 +124,7 @@
     val message = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, response.status, payload)
     message.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, payload.readableBytes())
     response.contentType?.let { message.headers().set(HttpHeaderNames.CONTENT_TYPE, it) }
+    response.version?.let { message.headers().set(HttpHeaderNames.ETAG, it) }
     val written = writeAndFlush(message)
     if (!keepAlive) {
         written.addListener(ChannelFutureListener.CLOSE)
