Prove racing operators and two faults at once on real processes

Cause: operators' races were proved only in the fold, and two faults together only in the scripted test. Change: four commands change the default at once: each ends with 0 or 3, every router's history has as many accepted and lost changes, and the default of one winner is in force everywhere. An engine restarts in a region that is cut off while the log is down: no overrun, no foreign answer, full use again.

--- a/corneltrack-testbed/src/test/kotlin/corneltrack/testbed/FailureTest.kt
+++ b/corneltrack-testbed/src/test/kotlin/corneltrack/testbed/FailureTest.kt
@@ -132,6 +132,26 @@
         assertEquals(0, fleet.engines.values.sumOf { it.overruns.get() })
     }
 
+    @Test
+    fun `an engine that restarts in a region that is cut off, with the log down, gets no more than it bears`() {
+        val driver = busy()
+        val members = fleet.routers.map { it.id } + fleet.engines.keys.map { it.value }
+        val inside = members.filterTo(HashSet()) { it.startsWith("south") }
+        val outside = members.toSet() - inside
+        fleet.log.down = true
+        fleet.proxies.between(inside, outside, LinkFault.SILENT)
+        val engine = fleet.engines.getValue(EndpointId("south-engine-1"))
+        engine.crash()
+        await("its own region to use the engine fully again") { engine.runningNow == 4 }
+        fleet.proxies.between(inside, outside, LinkFault.NONE)
+        fleet.log.down = false
+        val before = driver.counts.whole.get()
+        await("work to go on") { driver.counts.whole.get() > before + 100 }
+        driver.stop()
+        assertEquals(0, fleet.engines.values.sumOf { it.overruns.get() })
+        assertEquals(0, driver.counts.foreign.get())
+    }
+
     /** Keeps all engines busy and waits until they are warm. */
     private fun busy(): LoadDriver {
         val driver = LoadDriver(
--- a/corneltrack-testbed/src/test/kotlin/corneltrack/testbed/OperatorCommandTest.kt
+++ b/corneltrack-testbed/src/test/kotlin/corneltrack/testbed/OperatorCommandTest.kt
@@ -1,10 +1,14 @@
 package corneltrack.testbed
 
+import corneltrack.wire.wireJson
+import corneltrack.world.Configuration
+import corneltrack.world.Verdict
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
 import java.nio.file.Files
 import java.nio.file.Path
+import java.util.concurrent.CompletableFuture
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -62,6 +66,25 @@
         assertEquals(1, records)
     }
 
+    @Test
+    fun `operators who race each other are told who won, and every router has the winner's change`() {
+        val ended = (1..RACERS).map { CompletableFuture.supplyAsync { setDefaultWeight(it) } }.map { it.join() }
+        assertTrue(ended.all { it.code == 0 || it.code == LOST_RACE }, ended.joinToString("\n") { it.output })
+        val winners = (1..RACERS).filter { ended[it - 1].code == 0 }
+        val states = fleet.routers.map { configuration(it) }
+        val verdicts = states.map { state -> state.history.filter { it.record.why == "race" }.map { it.verdict } }
+        val expected = mapOf(Verdict.ACCEPTED to winners.size, Verdict.LOST_RACE to RACERS - winners.size)
+        verdicts.forEach { assertEquals(expected.filterValues { it > 0 }, it.groupingBy { it }.eachCount()) }
+        assertEquals(1, states.map { it.agreement.default }.toSet().size)
+        assertTrue(states.first().agreement.default.weight.toInt() in winners, "${states.first().agreement}, $winners")
+    }
+
+    private fun configuration(router: RouterProcess): Configuration =
+        wireJson.decodeFromString(fleet.get(router, "/peer/configuration")!!)
+
+    private fun setDefaultWeight(weight: Int): Ended =
+        run("set-default", "--weight", "$weight", "--cap", "0.5", "--waiting-limit", "100", "--why", "race")
+
     private fun run(vararg arguments: String): Ended {
         val settings = Path.of(fleet.folder.toString(), "corneltrackctl.json")
         Files.writeString(
@@ -77,4 +100,9 @@
         val output = process.inputStream.readAllBytes().decodeToString()
         return Ended(process.waitFor(), output)
     }
+
+    private companion object {
+        const val RACERS = 4
+        const val LOST_RACE = 3
+    }
 }
