--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/CellAllocator.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/CellAllocator.kt
@@ -1,6 +1,7 @@
 package corneltrack.policy
 
 import corneltrack.world.Cell
+import corneltrack.world.CellStatus
 import corneltrack.world.EndpointId
 import corneltrack.world.InstanceId
 import corneltrack.world.Pool
@@ -21,28 +22,6 @@
     val open: Set<EndpointId>,
 )
 
-/**
- * Shows an allocator's state to operators.
- *
- * @property usable the slots, own and borrowed, that may be lent at present.
- * @property borrowed those of [usable] that other cells of the pool have lent.
- * @property lent the slots that routers of the home group may be using.
- * @property lentAway the slots that other cells of the pool may be using.
- */
-public data class AllocatorStatus(
-    val cell: Cell,
-    val supporters: Int,
-    val listed: Int,
-    val limits: Map<EndpointId, Int>,
-    val usable: Int,
-    val borrowed: Int,
-    val lent: Int,
-    val lentAway: Int,
-    val running: Int,
-    val waiting: Int,
-    val coldEndpoints: Int,
-)
-
 /**
  * Allocates the slots of one cell among routers for as long as routers support it.
  *
@@ -156,9 +135,9 @@
     }
 
     /** Returns what operators want to know about the cell. */
-    public fun status(nowMs: Long): AllocatorStatus {
+    public fun status(nowMs: Long): CellStatus {
         val reports = holders.all.flatMap { it.workspaces.values }
-        return AllocatorStatus(
+        return CellStatus(
             cell = cell,
             supporters = supporters.supporting(nowMs).size,
             listed = supporters.listed(nowMs),
@@ -169,7 +148,7 @@
             lentAway = holders.all.filterNot { it.local }.sumOf { it.held },
             running = reports.sumOf { it.running },
             waiting = reports.sumOf { it.waiting },
-            coldEndpoints = book.coldCount(),
+            cold = book.coldCount(),
         )
     }
 
@@ -191,7 +170,7 @@
         val slots = capacity.choose(holder, target, nowMs)
         sequence++
         holder.onGrant(slots, sequence, nowMs + lease)
-        val bare = CellGrant(cell, sequence, slots, lease, unmet = target > slots.values.sum() + 1)
+        val bare = CellGrant(cell, sequence, slots, lease)
         val limits = if (sequence % LIMITS_EVERY_GRANTS == 1L) book.limits() else emptyMap()
         return if (holder.local) {
             bare.withOrder(
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/Exchange.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/Exchange.kt
@@ -79,7 +79,6 @@
  * @property virtual the virtual service by workspace, for the workspaces that the router reported.
  * @property deferred the workspaces at their cap while others wait.
  * @property limits the limit of each endpoint of the cell over all routers; empty in most grants.
- * @property unmet whether more slots are due as soon as others hand them back.
  */
 @Serializable
 public data class CellGrant(
@@ -90,7 +89,6 @@
     val virtual: Map<WorkspaceId, Long> = emptyMap(),
     val deferred: Set<WorkspaceId> = emptySet(),
     val limits: Map<EndpointId, Int> = emptyMap(),
-    val unmet: Boolean = false,
 )
 
 /**
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/AllocatorDuty.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/AllocatorDuty.kt
@@ -1,6 +1,5 @@
 package corneltrack.router
 
-import corneltrack.policy.AllocatorStatus
 import corneltrack.policy.CellAllocator
 import corneltrack.policy.CellGrant
 import corneltrack.policy.CellReport
@@ -11,6 +10,7 @@
 import corneltrack.policy.LeaseTimes
 import corneltrack.wire.event
 import corneltrack.world.Cell
+import corneltrack.world.CellStatus
 import corneltrack.world.Endpoint
 import corneltrack.world.InstanceId
 import org.apache.logging.log4j.LogManager
@@ -76,7 +76,7 @@
     }
 
     /** Returns the state of each cell that this router allocates. */
-    fun status(): List<AllocatorStatus> = duties.values.map { it.allocator.status(clock()) }
+    fun status(): List<CellStatus> = duties.values.map { it.allocator.status(clock()) }
 
     /** Lets all leases end within one lease time, so that others can take over. Returns that time, in ms. */
     fun release(): Long {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/Attempt.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/Attempt.kt
@@ -3,7 +3,6 @@
 import corneltrack.policy.AttemptEnd
 import corneltrack.world.Endpoint
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
@@ -13,7 +12,6 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
-import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import java.util.concurrent.TimeUnit.MILLISECONDS
@@ -250,31 +248,5 @@
     }
 }
 
-/** Runs [action] when an answer has ended, in whatever way. */
-private class EndOfAnswer(private val action: () -> Unit) : ChannelInboundHandlerAdapter() {
-    override fun channelRead(context: ChannelHandlerContext, message: Any) {
-        ReferenceCountUtil.release(message)
-        if (message is LastHttpContent) context.close()
-    }
-
-    override fun channelInactive(context: ChannelHandlerContext) = action()
-
-    @Deprecated("Netty keeps this method for inbound handlers")
-    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        context.close()
-    }
-}
-
 private fun HttpResponseStatus.refuses(): Boolean =
     this == HttpResponseStatus.TOO_MANY_REQUESTS || this == HttpResponseStatus.SERVICE_UNAVAILABLE
-
-private fun OutgoingMessage.encode(endpoint: Endpoint, stream: KeptStream?): DefaultFullHttpRequest {
-    val message = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path, Unpooled.wrappedBuffer(body))
-    message.headers().set(headers)
-    message.headers().set(HttpHeaderNames.HOST, endpoint.address)
-    stream?.let { message.headers().set(STREAM_HEADER, it.id) }
-    if (body.isNotEmpty()) {
-        message.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.size)
-    }
-    return message
-}
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/LoanExchanger.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/LoanExchanger.kt
@@ -8,8 +8,7 @@
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.Executor
 
-private const val PERIOD_MS = 1_800L
-private const val UNMET_PERIOD_MS = 1_000L
+private const val PERIOD_MS = 1_700L
 
 /**
  * Exchanges slots and counts of service between the allocators of one pool's cells.
@@ -32,17 +31,13 @@
 
     private var sentMs = parts.clock()
 
-    /** Whether more slots are due than could be lent so far. */
-    private var unmet = false
-
     /** Sends the reports that are due. */
     fun tick() {
         val nowMs = parts.clock()
-        if (nowMs - sentMs < if (unmet) UNMET_PERIOD_MS else PERIOD_MS) {
+        if (nowMs - sentMs < PERIOD_MS) {
             return
         }
         sentMs = nowMs
-        unmet = false
         duty.cells.flatMap { borrower -> siblings(borrower).map { Loan(borrower, it) } }
             .groupBy { allocatorOf(it.lender) }
             .forEach { (peer, loans) -> if (peer != null) exchange(peer, loans, nowMs) }
@@ -64,10 +59,7 @@
                     ExchangeRequest(parts.settings.id, incarnation, configurationOffset = offset, cells = reports)
                 send(peer, request).thenAcceptAsync({ response ->
                     response?.let { onPeerOffset(it.from, it.configurationOffset) }
-                    response?.grants?.forEach { grant ->
-                        duty.onLoan(borrower, grant, nowMs)
-                        unmet = unmet || grant.unmet
-                    }
+                    response?.grants?.forEach { duty.onLoan(borrower, it, nowMs) }
                 }, control)
             }
         }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/RoutedRequest.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/RoutedRequest.kt
@@ -1,15 +1,20 @@
 package corneltrack.router
 
 import corneltrack.policy.Waiting
+import corneltrack.world.Endpoint
 import corneltrack.world.EndpointId
 import corneltrack.world.Pool
 import corneltrack.world.WorkspaceId
 import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
 import io.netty.channel.EventLoop
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpVersion
 
 /** What is sent to an endpoint: the caller's request without its secrets and connection headers. */
 internal data class OutgoingMessage(
@@ -23,6 +28,18 @@
     override fun hashCode(): Int = System.identityHashCode(this)
 }
 
+/** Returns this message for [endpoint]; its engine keeps the answer as [stream], unless that is null. */
+internal fun OutgoingMessage.encode(endpoint: Endpoint, stream: KeptStream?): DefaultFullHttpRequest {
+    val message = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path, Unpooled.wrappedBuffer(body))
+    message.headers().set(headers)
+    message.headers().set(HttpHeaderNames.HOST, endpoint.address)
+    stream?.let { message.headers().set(STREAM_HEADER, it.id) }
+    if (body.isNotEmpty()) {
+        message.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.size)
+    }
+    return message
+}
+
 /** Tells whether a request ran, in every answer that the router itself makes. */
 internal enum class Outcome(val text: String) {
     NOT_RUN("not-run"),
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/Router.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/Router.kt
@@ -1,9 +1,7 @@
 package corneltrack.router
 
-import corneltrack.policy.AllocatorStatus
 import corneltrack.policy.LeaseTimes
 import corneltrack.policy.Suspicion
-import corneltrack.wire.CellStatus
 import corneltrack.wire.ControlClient
 import corneltrack.wire.ControlRequest
 import corneltrack.wire.ControlServer
@@ -180,7 +178,7 @@
             logSilenceMs = reader.silenceMs(clock()),
             listSilenceMs = fleet.silenceMs(clock()),
             openRequests = runner.openRequests,
-            allocates = duty.status().map { it.toCellStatus() },
+            allocates = duty.status(),
             workspaces = runner.pools().flatMap { it.workspaceStatus(clock()) },
             quarantined = crashes.quarantined(),
         )
@@ -200,9 +198,6 @@
     }
 }
 
-private fun AllocatorStatus.toCellStatus(): CellStatus =
-    CellStatus(cell, supporters, listed, limits, usable, borrowed, lent, lentAway, running, waiting, coldEndpoints)
-
 private fun PoolScheduler.workspaceStatus(nowMs: Long): List<WorkspaceStatus> {
     val snapshot = snapshot(nowMs)
     val running = snapshot.held.values.flatMap { it.workspaces.entries }.groupBy({ it.key }, { it.value })
