Spread an even load in one place

Cause: a reading of the whole change: the same list of backlogs stood in the quick start and two tests.

--- a/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/QuickStart.kt
+++ b/corneltrack-testbed/src/main/kotlin/corneltrack/testbed/QuickStart.kt
@@ -81,12 +81,7 @@
     }
 
     private fun keepBusy(fleet: TestFleet, client: CallerClient) {
-        val driver = LoadDriver(
-            client,
-            fleet.plan.workspaces.flatMap { workspace ->
-                fleet.routers.map { Backlog(workspace, it.callers, LOAD_PER_WORKSPACE) }
-            }
-        ) { LOAD_TOKENS }
+        val driver = LoadDriver(client, evenBacklogs(fleet, LOAD_PER_WORKSPACE)) { LOAD_TOKENS }
         driver.start()
         while (true) {
             Thread.sleep(REPORT_MS)
--- a/corneltrack-testbed/src/test/kotlin/corneltrack/testbed/FailureTest.kt
+++ b/corneltrack-testbed/src/test/kotlin/corneltrack/testbed/FailureTest.kt
@@ -154,10 +154,7 @@
 
     /** Keeps all engines busy and waits until they are warm. */
     private fun busy(): LoadDriver {
-        val driver = LoadDriver(
-            client,
-            fleet.plan.workspaces.flatMap { workspace -> fleet.routers.map { Backlog(workspace, it.callers, 3) } },
-        ) { 20 }
+        val driver = LoadDriver(client, evenBacklogs(fleet, calls = 3)) { 20 }
         driver.start()
         await("all engines to be fully used") { fleet.engines.values.all { it.runningNow >= 3 } }
         return driver
--- a/corneltrack-testbed/src/test/kotlin/corneltrack/testbed/ReplacementTest.kt
+++ b/corneltrack-testbed/src/test/kotlin/corneltrack/testbed/ReplacementTest.kt
@@ -21,10 +21,7 @@
 
     @Test
     fun `replacing every router in turn under load cuts off no request`() {
-        val driver = LoadDriver(
-            client,
-            fleet.plan.workspaces.flatMap { workspace -> fleet.routers.map { Backlog(workspace, it.callers, 2) } },
-        ) { 30 }
+        val driver = LoadDriver(client, evenBacklogs(fleet, calls = 2)) { 30 }
         driver.start()
         await("engines to be busy") { fleet.engines.values.all { it.runningNow >= 2 } }
         fleet.routers.forEach { router ->
