Give shared parts of prompts one home in the fleet and set engines apart for long prompts

Homes are ranked over all engines, routers tell all peers their loads, long prompts meet at a few engines.

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/EngineLoad.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/EngineLoad.kt
@@ -7,7 +7,7 @@
 private const val HIGHEST_MS_PER_TOKEN = 0.5
 private const val READ_SMOOTHING = 0.08
 private const val INITIAL_MS_PER_OUTPUT_TOKEN = 10.0
-private const val PACE_SMOOTHING = 0.01
+private const val PACE_SMOOTHING = 0.02
 private const val LEAST_SAMPLE_TOKENS = 1_000
 private const val PEER_SILENCE_MS = 1_500L
 
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/EnginePlacement.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/EnginePlacement.kt
@@ -7,14 +7,15 @@
 private const val MISS_WEIGHT = 1.0
 private const val PLACES_USED = 0.95
 private const val MEMORY_USED = 0.9
-private const val FINISH_MARGIN = 0.9
+private const val FINISH_MARGIN = 0.75
 private const val SHORTEST_RETRY_MS = 200L
 
 /**
  * Describes one engine to choose from.
  *
- * @property distanceMs the time that the network adds to the first event, in ms.
- * @property handicapMs what using it costs beyond the time, as time: traffic between regions is billed.
+ * @property distanceMs the time that the network adds to the first event, in ms. It counts against the limit only: a
+ *   farther engine that has the prompt's beginning is the better choice as long as it answers in time.
+ * @property handicapMs what speaks against using it, as time: billed traffic between regions, prompts of another size.
  */
 public class EngineCandidate(
     public val id: EndpointId,
@@ -113,7 +114,8 @@
     private val total = load.total(nowMs)
     val unread = (generation.promptTokens - kept).toInt().coerceAtLeast(0)
     val waitMs = FIRST_EVENT_MS + (total.unreadTokens + unread) * load.msPerToken + candidate.distanceMs
-    val score = waitMs + candidate.handicapMs + MISS_WEIGHT * (generation.sharedTokens - kept) * load.msPerToken
+    private val missMs = MISS_WEIGHT * (generation.sharedTokens - kept) * load.msPerToken
+    val score = waitMs - candidate.distanceMs + candidate.handicapMs + missMs
     private val queueMs = FIRST_EVENT_MS + total.unreadTokens * load.msPerToken + candidate.distanceMs
     private val finishMs = waitMs + generation.outputTokens * load.msPerOutputToken
     private val memory = total.memoryTokens + unread + generation.outputTokens
@@ -147,9 +149,9 @@
     }
 }
 
-/** Ranks the candidates by rendezvous hashing of the last shared part, nearest candidates first. */
+/** Ranks the candidates by rendezvous hashing of the last shared part. */
 private fun List<EngineCandidate>.homeRanks(generation: Generation): Map<EndpointId, Int> {
     val key = generation.sharedPart?.chain ?: return emptyMap()
-    return sortedWith(compareBy({ it.handicapMs }, { mixed(key, it.id.value.hashCode().toLong()) }))
+    return sortedBy { mixed(key, it.id.value.hashCode().toLong()) }
         .withIndex().associate { (rank, candidate) -> candidate.id to rank }
 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/EndpointConnections.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/EndpointConnections.kt
@@ -45,9 +45,11 @@
 
     private val idle = ConcurrentHashMap<Key, ConcurrentLinkedDeque<Channel>>()
 
-    /** Returns a kept connection that is still good, or null. */
-    fun take(loop: EventLoop, endpoint: Endpoint, nowMs: Long): Channel? {
+    /** Returns a kept connection that is still good and was used within [idleLimitMs], or null. */
+    fun take(loop: EventLoop, endpoint: Endpoint, nowMs: Long, idleLimitMs: Long = this.idleLimitMs): Channel? {
         val queue = idle[Key(loop, endpoint.id, endpoint.address)] ?: return null
+        val newest = queue.peekFirst() ?: return null
+        if (nowMs - newest.attr(IDLE_SINCE).get() >= idleLimitMs) return null
         val fresh = generateSequence { queue.pollFirst() }.firstOrNull { it.isFresh(nowMs) }
         fresh?.pipeline()?.remove(IdleGuard::class.java)
         return fresh
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallRun.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallRun.kt
@@ -23,7 +23,11 @@
 private const val BUFFER_LIMIT_BYTES = 1024 * 1024
 private const val FIRST_SUCCESS = 200
 private const val FIRST_REDIRECT = 300
-private const val REUSE_RETRY_MS = 300L
+private const val RETRY_AFTER_MS = 300L
+private const val REPEATABLE_REUSE_MS = 2_000L
+
+/** Shorter than any idle timeout that an endpoint can state, since a request that is cut off cannot be sent again. */
+private const val AT_MOST_ONCE_REUSE_MS = 500L
 
 /**
  * Takes one admitted request through its attempts to its one answer. Only used on the event loop.
@@ -65,7 +69,7 @@
         when {
             call.delivered -> abort("timeout")
             sent -> refuse(HttpResponseStatus.GATEWAY_TIMEOUT, "timeout", Outcome.UNKNOWN, null)
-            else -> refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "timeout", Outcome.NOT_RUN, REUSE_RETRY_MS)
+            else -> refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, "timeout", Outcome.NOT_RUN, RETRY_AFTER_MS)
         }
     }
 
@@ -89,7 +93,8 @@
         call.attempted = true
         val current = Attempt(target)
         attempt = current
-        current.exchange.begin(mayReuse = call.route.repeatable, parts.nowMs())
+        val reuseIdleMs = if (call.route.repeatable) REPEATABLE_REUSE_MS else AT_MOST_ONCE_REUSE_MS
+        current.exchange.begin(reuseIdleMs, parts.nowMs())
     }
 
     private fun leaveAttempt() {
@@ -126,7 +131,7 @@
         RelayStep.SendAgain, RelayStep.Resume -> sendToNext()
         RelayStep.Deliver -> deliverWhole(ended)
         is RelayStep.RefuseNotRun ->
-            refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, step.reason, Outcome.NOT_RUN, REUSE_RETRY_MS)
+            refuse(HttpResponseStatus.SERVICE_UNAVAILABLE, step.reason, Outcome.NOT_RUN, RETRY_AFTER_MS)
         is RelayStep.AnswerUnknown -> refuse(HttpResponseStatus.BAD_GATEWAY, step.reason, Outcome.UNKNOWN, null)
         is RelayStep.Abort -> abort(step.reason)
     }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointExchange.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointExchange.kt
@@ -44,7 +44,6 @@
  *
  * An answer that names another request is passed over: it came late for an earlier one.
  *
- * @param mayReuse whether a kept connection may be used, which may have gone stale unnoticed.
  */
 internal class EndpointExchange(
     private val endpoint: Endpoint,
@@ -57,9 +56,13 @@
     private var channel: Channel? = null
     private var over = false
 
-    /** Begins. */
-    fun begin(mayReuse: Boolean, nowMs: Long) {
-        val kept = if (mayReuse) connections.take(loop, endpoint, nowMs) else null
+    /**
+     * Begins.
+     *
+     * @param reuseIdleMs how long a kept connection may have been idle to be used; it may have gone stale unnoticed.
+     */
+    fun begin(reuseIdleMs: Long, nowMs: Long) {
+        val kept = connections.take(loop, endpoint, nowMs, reuseIdleMs)
         if (kept != null) {
             send(kept, reused = true)
             return
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerDigest.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerDigest.kt
@@ -17,7 +17,7 @@
 @Serializable
 internal data class WorkspaceDigest(val asked: Long, val granted: Long)
 
-/** Tells a router's load to its peers in the same data centre, and suspicions to all peers. */
+/** Tells a router's load and suspicions to its peers. */
 @Serializable
 internal data class PeerDigest(
     val from: String,
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
@@ -7,7 +7,7 @@
 import corneltrack.policy.placing.WorkspaceShares
 import corneltrack.wire.HostAndPort
 import corneltrack.wire.event
-import corneltrack.world.EndpointId
+import corneltrack.world.DataCentreId
 import corneltrack.world.InstanceId
 import corneltrack.world.WorkspaceId
 import io.netty.bootstrap.Bootstrap
@@ -26,13 +26,16 @@
 import java.util.concurrent.TimeUnit
 
 private const val DIGEST_PERIOD_MS = 100L
+
+/** Traffic between regions is billed: peers there get every third digest. */
+private const val FAR_EVERY = 3L
 private const val SUSPICION_COPIES = 3
 private val PEER_PACE = ReadingPace(waitMs = 10_000, pauseMs = 500)
 private val logger = LogManager.getLogger("corneltrack.router.relay.PeerExchange")
 private val peerJson = Json { ignoreUnknownKeys = true }
 
 /**
- * Finds the other routers in the store and exchanges loads with those of the same data centre.
+ * Finds the other routers in the store and exchanges loads with them, less often across regions.
  *
  * Datagrams may be lost; each digest replaces the one before. Only used on the event loop.
  */
@@ -49,6 +52,7 @@
     private val follower = TopicFollower("peers", topic, PEER_PACE, loop, clock, ::onRecord) {}
     private var channel: Channel? = null
     private var idleSent = false
+    private var digests = 0L
 
     /** Starts to listen, announces this router and follows the announcements of others. */
     fun start() {
@@ -104,8 +108,9 @@
         val idle = endpoints.isEmpty() && workspaces.isEmpty()
         if (idle && idleSent) return
         idleSent = idle
-        val near = peers.values.filter { it.dataCentre == settings.dataCentre.value }
-        send(PeerDigest(settings.id.value, endpoints, workspaces), near)
+        val withFar = digests++ % FAR_EVERY == 0L
+        val receivers = peers.values.filter { withFar || settings.regions[DataCentreId(it.dataCentre)] == settings.region }
+        send(PeerDigest(settings.id.value, endpoints, workspaces), receivers)
     }
 
     private fun send(digest: PeerDigest, to: Collection<PeerRecord>) {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/Relay.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/Relay.kt
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import java.util.concurrent.ThreadLocalRandom
 
+private const val LEAVING_RETRY_MS = 50L
 private const val QUARANTINE_RETRY_MS = 10_000L
 private const val FRESH_SHARE = 0.85
 private const val UNNAMED = "-"
@@ -24,9 +25,14 @@
 ) {
     private val longestTimes = HashMap<String, Long>()
 
+    /** Whether further requests are refused, since the process ends before they could. */
+    @Volatile
+    var closed: Boolean = false
+
     /** Handles one request and returns what cancels it. */
     fun handle(request: CallerRequest, sink: AnswerSink): () -> Unit {
         val facts = parts.dialect.readRequest(request.head)
+        if (closed) return refuse(facts, LEAVING, sink)
         val draw = ThreadLocalRandom.current().nextDouble()
         return when (val admission = admitCall(facts, beliefs.table, beliefs.keysTooOld(), draw)) {
             is CallAdmission.Refused -> refuse(facts, admission.refusal, sink)
@@ -110,6 +116,12 @@
     }
 }
 
+private val LEAVING = Refusal(
+    HttpResponseStatus.SERVICE_UNAVAILABLE,
+    "leaving",
+    "This router is shutting down.",
+    retryAfterMs = LEAVING_RETRY_MS,
+)
 private val QUARANTINED = Refusal(
     HttpResponseStatus.SERVICE_UNAVAILABLE,
     "quarantined",
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
@@ -105,7 +105,10 @@
         val beganMs = monotonicClock()
         while (monotonicClock() - beganMs < settings.bounds.drainMs) {
             val outOfRotation = monotonicClock() - beganMs >= OUT_OF_ROTATION_MS
-            if (outOfRotation) connections.closeIdle()
+            if (outOfRotation) {
+                relay.closed = true
+                connections.closeIdle()
+            }
             if (outOfRotation && connections.requests == 0 && connections.count == 0) break
             Thread.sleep(DRAIN_POLL_MS)
         }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TargetChooser.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TargetChooser.kt
@@ -6,6 +6,7 @@
 import corneltrack.policy.placing.Generation
 import corneltrack.policy.placing.PlacementDecision
 import corneltrack.policy.placing.PlacementRequest
+import corneltrack.policy.placing.PromptLanes
 import corneltrack.policy.placing.ServiceCandidate
 import corneltrack.policy.placing.ServiceDecision
 import corneltrack.policy.placing.WorkspaceShares
@@ -20,7 +21,9 @@
 private const val SAME_DATA_CENTRE_MS = 1.0
 private const val SAME_REGION_MS = 5.0
 private const val OTHER_REGION_MS = 125.0
-private const val OTHER_REGION_HANDICAP_MS = 60.0
+private const val OTHER_REGION_HANDICAP_MS = 5.0
+private const val LANE_HANDICAP_MS = 150.0
+private const val LONG_PROMPT_TOKENS = 20_000
 private const val CACHE_SHARE = 0.5
 private const val READ_SHARE = 0.6
 private const val MS_PER_SECOND = 1_000.0
@@ -59,12 +62,15 @@
     private val states: EndpointStates,
     private val shares: WorkspaceShares,
 ) {
+    private val lanes = PromptLanes(LONG_PROMPT_TOKENS)
+
     /** Chooses an endpoint for [call] and charges it with the load. */
     fun choose(call: RelayedCall, regions: Set<RegionId>, nowMs: Long): TargetDecision {
         val eligible = eligible(call, regions, nowMs)
         if (eligible.isEmpty()) return TargetDecision.Refused("no endpoint", NO_ENDPOINT_RETRY_MS)
         val generation = call.generation
         val engine = call.pool.engine
+        if (generation != null && call.attempts == 0) lanes.onAsked(generation, nowMs)
         return if (generation != null && engine != null) {
             placeAtEngine(call, generation, engine, eligible, nowMs)
         } else {
@@ -112,7 +118,12 @@
         val request = PlacementRequest(generation, limits.waitMs, limits.queueMs, left)
         val retentionMs = retentionMs(engine, beliefs.directory.of(call.pool.id).size)
         val endpoints = eligible.associateBy { it.entry.endpoint.id }
-        val candidates = eligible.map { it.engineCandidate(engine) }
+        val lane = lanes.laneOf(endpoints.keys)
+        val candidates = if (lane.isNotEmpty() && lanes.isLong(generation)) {
+            eligible.filter { it.entry.endpoint.id in lane }.map { it.engineCandidate(engine, 0.0) }
+        } else {
+            eligible.map { it.engineCandidate(engine, if (it.entry.endpoint.id in lane) LANE_HANDICAP_MS else 0.0) }
+        }
         return when (val decision = placeGeneration(request, candidates, retentionMs, nowMs)) {
             is PlacementDecision.Refused -> {
                 val reason = "${decision.obstacle.name.lowercase()}, wait ${decision.expectedWaitMs.toLong()} ms"
@@ -157,7 +168,7 @@
         }
     }
 
-    private fun KnownEndpoint.engineCandidate(engine: EngineProfile): EngineCandidate {
+    private fun KnownEndpoint.engineCandidate(engine: EngineProfile, laneHandicapMs: Double): EngineCandidate {
         val state = states.of(this)
         val far = settings.regions[entry.endpoint.dataCentre] != settings.region
         return EngineCandidate(
@@ -167,7 +178,7 @@
             places = if (entry.places > 0) entry.places else engine.places,
             memoryTokens = engine.memoryTokens,
             distanceMs = distanceMs,
-            handicapMs = if (far) OTHER_REGION_HANDICAP_MS else 0.0,
+            handicapMs = laneHandicapMs + if (far) OTHER_REGION_HANDICAP_MS else 0.0,
         )
     }
 
