Keep parts of prompts with their home and sort long prompts by size class

Cause: the pauses of streams exceed 500 ms while an engine reads the far end of a long prompt, so drafts of 15,000 tokens and more made each other late and condolences beside them too; a miss weighed as little as its own reading time, so requests left the engine that kept their beginning. Also: a connection was closed when its answer had ended (5,257 new ones for 5,257 requests).

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/EnginePlacement.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/EnginePlacement.kt
@@ -2,9 +2,9 @@
 
 import corneltrack.world.EndpointId
 
-private const val HOME_KEPT = 0.7
-private const val SECOND_KEPT = 0.3
-private const val MISS_WEIGHT = 1.0
+private const val HOME_KEPT = 1.0
+private const val SECOND_KEPT = 0.5
+private const val MISS_WEIGHT = 20.0
 private const val PLACES_USED = 0.95
 private const val MEMORY_USED = 0.9
 private const val FINISH_MARGIN = 0.75
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/PromptLanes.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/PromptLanes.kt
@@ -6,41 +6,50 @@
 
 private const val LANE_KEY = 0x6c616e65L
 private const val MEMORY_MS = 10_000.0
-private const val HEADROOM = 1.3
-private const val LARGEST_SHARE = 0.5
+private const val HEADROOM = 1.15
 
 /**
- * Sets engines apart for long prompts.
+ * Sets engines apart for prompts of one size.
  *
  * Answers a load in which a few prompts are many times as long as the rest: while an engine reads the far end of a long
- * prompt, every step of all streams beside it takes so long that their pauses exceed what callers accept. Long prompts
- * therefore meet at a few engines, in number by their part of all tokens read. All routers pick the same engines, by
- * rendezvous hashing. Not thread-safe.
+ * prompt, every step of all streams beside it takes so long that their pauses exceed what callers accept. Prompts of
+ * one size class therefore meet at the same engines, in number by their part of all tokens read; the shortest class has
+ * the rest. All routers pick the same engines, by rendezvous hashing. Not thread-safe.
  *
- * @param longTokens the prompt length from which a prompt is long.
+ * @param bounds the prompt lengths, in tokens and rising, at which a further size class begins.
  */
-public class PromptLanes(private val longTokens: Int) {
-    private var long = 0.0
-    private var all = 0.0
+public class PromptLanes(private val bounds: List<Int>) {
+    private val tokens = DoubleArray(bounds.size + 1)
     private var atMs = 0L
 
-    /** Returns whether [generation] has a long prompt. */
-    public fun isLong(generation: Generation): Boolean = generation.promptTokens >= longTokens
+    /** Returns the size class of [generation]: 0 for the shortest. */
+    public fun classOf(generation: Generation): Int = bounds.count { generation.promptTokens >= it }
 
     /** Notes a request of a caller. */
     public fun onAsked(generation: Generation, nowMs: Long) {
         val factor = exp((atMs - nowMs) / MEMORY_MS)
-        val tokens = generation.promptTokens - generation.sharedTokens
-        long = long * factor + if (isLong(generation)) tokens else 0
-        all = all * factor + tokens
+        for (index in tokens.indices) tokens[index] *= factor
+        tokens[classOf(generation)] += (generation.promptTokens - generation.sharedTokens).toDouble()
         atMs = nowMs
     }
 
-    /** Returns those of [engines] that long prompts go to; none where there are too few engines to set any apart. */
-    public fun laneOf(engines: Collection<EndpointId>): Set<EndpointId> {
-        if (engines.size < 2 || long <= 0) return emptySet()
-        val wanted = ceil(engines.size * long / all * HEADROOM).toInt()
-        val most = (engines.size * LARGEST_SHARE).toInt()
-        return engines.sortedBy { mixed(LANE_KEY, it.value.hashCode().toLong()) }.take(minOf(wanted, most)).toSet()
+    /** Returns the size class that each of [engines] is set apart for. */
+    public fun assign(engines: Collection<EndpointId>): Map<EndpointId, Int> {
+        val ranked = engines.sortedBy { mixed(LANE_KEY, it.value.hashCode().toLong()) }
+        val total = tokens.sum()
+        val lanes = HashMap<EndpointId, Int>()
+        var next = 0
+        for (size in tokens.indices.reversed()) {
+            val wanted = if (size == 0 || total <= 0) 0 else ceil(engines.size * tokens[size] / total * HEADROOM - ROUNDING).toInt()
+            val left = ranked.size - next - size
+            val count = if (size == 0) ranked.size - next else minOf(wanted, maxOf(0, left))
+            repeat(count) { lanes[ranked[next++]] = size }
+        }
+        return lanes
+    }
+
+    private companion object {
+        /** A lane takes a further engine once it wants more than this part of it. */
+        const val ROUNDING = 0.35
     }
 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallRun.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallRun.kt
@@ -42,6 +42,7 @@
     private var attempt: Attempt? = null
     private var timer: ScheduledFuture<*>? = null
     private var firstEventMs: Long? = null
+    private var longestPauseMs = 0L
 
     /** Begins. */
     fun start() {
@@ -160,7 +161,7 @@
         call.over = true
         timer?.cancel(false)
         val nowMs = parts.nowMs()
-        parts.journal.ended(call, result, status, firstEventMs, nowMs)
+        parts.journal.ended(call, result, status, CallTiming(firstEventMs, longestPauseMs, nowMs))
         parts.onEnded(call)
     }
 
@@ -294,6 +295,7 @@
             } else {
                 val tokens = call.pool.engine?.tokensPerEvent ?: 1
                 target.state.engine.onEvent(nowMs - lastEventMs, tokens)
+                longestPauseMs = maxOf(longestPauseMs, nowMs - lastEventMs)
             }
             lastEventMs = nowMs
         }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointExchange.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointExchange.kt
@@ -163,6 +163,7 @@
 
         private fun onLast(context: ChannelHandlerContext) {
             over = true
+            channel = null
             context.pipeline().remove(this)
             val current = context.channel()
             listener.onEnd()
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TargetChooser.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TargetChooser.kt
@@ -23,7 +23,9 @@
 private const val OTHER_REGION_MS = 125.0
 private const val OTHER_REGION_HANDICAP_MS = 5.0
 private const val LANE_HANDICAP_MS = 150.0
-private const val LONG_PROMPT_TOKENS = 20_000
+
+/** Prompts from the second bound on stretch the pauses of streams beside them on their own, from the first in a row. */
+private val PROMPT_SIZES = listOf(14_000, 24_000)
 private const val CACHE_SHARE = 0.5
 private const val READ_SHARE = 0.6
 private const val MS_PER_SECOND = 1_000.0
@@ -62,7 +64,7 @@
     private val states: EndpointStates,
     private val shares: WorkspaceShares,
 ) {
-    private val lanes = PromptLanes(LONG_PROMPT_TOKENS)
+    private val lanes = PromptLanes(PROMPT_SIZES)
 
     /** Chooses an endpoint for [call] and charges it with the load. */
     fun choose(call: RelayedCall, regions: Set<RegionId>, nowMs: Long): TargetDecision {
@@ -118,12 +120,10 @@
         val request = PlacementRequest(generation, limits.waitMs, limits.queueMs, left)
         val retentionMs = retentionMs(engine, beliefs.directory.of(call.pool.id).size)
         val endpoints = eligible.associateBy { it.entry.endpoint.id }
-        val lane = lanes.laneOf(endpoints.keys)
-        val candidates = if (lane.isNotEmpty() && lanes.isLong(generation)) {
-            eligible.filter { it.entry.endpoint.id in lane }.map { it.engineCandidate(engine, 0.0) }
-        } else {
-            eligible.map { it.engineCandidate(engine, if (it.entry.endpoint.id in lane) LANE_HANDICAP_MS else 0.0) }
-        }
+        val assigned = lanes.assign(endpoints.keys)
+        val size = lanes.classOf(generation)
+        val candidates = eligible.filter { assigned.getValue(it.entry.endpoint.id) >= size }
+            .map { it.engineCandidate(engine, LANE_HANDICAP_MS * (assigned.getValue(it.entry.endpoint.id) - size)) }
         return when (val decision = placeGeneration(request, candidates, retentionMs, nowMs)) {
             is PlacementDecision.Refused -> {
                 val reason = "${decision.obstacle.name.lowercase()}, wait ${decision.expectedWaitMs.toLong()} ms"
