--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/EngineLoad.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/EngineLoad.kt
@@ -8,6 +8,8 @@
 private const val READ_SMOOTHING = 0.08
 private const val INITIAL_MS_PER_OUTPUT_TOKEN = 10.0
 private const val PACE_SMOOTHING = 0.02
+private const val GAP_SMOOTHING = 0.25
+private const val GAP_LIFE_MS = 800L
 private const val LEAST_SAMPLE_TOKENS = 1_000
 private const val PEER_SILENCE_MS = 1_500L
 
@@ -47,6 +49,8 @@
     private var unreadTokens = 0L
     private var running = 0
     private var memoryTokens = 0L
+    private var gapMs = 0.0
+    private var gapAtMs = Long.MIN_VALUE / 2
 
     /** The learned time to read one prompt token, in ms. */
     public var msPerToken: Double = INITIAL_MS_PER_TOKEN
@@ -101,11 +105,16 @@
         }
     }
 
-    /** Notes a later event of a stream that carries [tokens] and came [gapMs] after the one before. */
-    public fun onEvent(gapMs: Long, tokens: Int) {
-        msPerOutputToken += PACE_SMOOTHING * (gapMs.toDouble() / tokens - msPerOutputToken)
+    /** Notes a later event of a stream that carries [tokens] and came [sinceLastMs] after the one before. */
+    public fun onEvent(sinceLastMs: Long, tokens: Int, nowMs: Long) {
+        msPerOutputToken += PACE_SMOOTHING * (sinceLastMs.toDouble() / tokens - msPerOutputToken)
+        gapMs = if (nowMs - gapAtMs > GAP_LIFE_MS) sinceLastMs.toDouble() else gapMs + GAP_SMOOTHING * (sinceLastMs - gapMs)
+        gapAtMs = nowMs
     }
 
+    /** Returns the time between two events of a stream just now, in ms; 0 where no stream has shown it lately. */
+    public fun recentGapMs(nowMs: Long): Double = if (nowMs - gapAtMs > GAP_LIFE_MS) 0.0 else gapMs
+
     /** Notes the end of [run], however it came about. */
     public fun onEnd(run: EngineRun) {
         if (run.ended) return
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/EnginePlacement.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/EnginePlacement.kt
@@ -8,6 +8,8 @@
 private const val PLACES_USED = 0.95
 private const val MEMORY_USED = 0.9
 private const val FINISH_MARGIN = 0.75
+private const val PAUSE_USED = 0.76
+private const val PAUSING_TOKENS = 300
 private const val SHORTEST_RETRY_MS = 200L
 
 /**
@@ -34,12 +36,14 @@
  * @property queueLimitMs the longest expected wait before its own prompt is read at which it is sent all the same, so
  *   that a prompt too long for the objective is not refused for ever.
  * @property timeLeftMs the time in which the whole answer must have come.
+ * @property pauseLimitMs the longest pause between two events at which an answer is on time.
  */
 public data class PlacementRequest(
     val generation: Generation,
     val waitLimitMs: Double,
     val queueLimitMs: Double,
     val timeLeftMs: Double,
+    val pauseLimitMs: Double = Double.POSITIVE_INFINITY,
 )
 
 /** Tells what keeps an engine from taking a request. */
@@ -50,6 +54,9 @@
     /** Its first event would come too late. */
     LATE_START,
 
+    /** Its streams pause so long between two events that more to read would make them late. */
+    LONG_PAUSES,
+
     /** Its last event would come too late. */
     LATE_FINISH,
 
@@ -124,6 +131,7 @@
     /** What keeps the engine from taking the request, or null. */
     val obstacle: PlacementObstacle? = when {
         !startsInTime -> PlacementObstacle.LATE_START
+        unread >= PAUSING_TOKENS && load.recentGapMs(nowMs) > request.pauseLimitMs * PAUSE_USED -> PlacementObstacle.LONG_PAUSES
         finishMs > request.timeLeftMs * FINISH_MARGIN -> PlacementObstacle.LATE_FINISH
         total.running >= candidate.places * PLACES_USED -> PlacementObstacle.NO_PLACE
         memory > candidate.memoryTokens * MEMORY_USED -> PlacementObstacle.NO_MEMORY
--- a/corneltrack-policy/src/test/kotlin/corneltrack/policy/placing/EnginePlacementTest.kt
+++ b/corneltrack-policy/src/test/kotlin/corneltrack/policy/placing/EnginePlacementTest.kt
@@ -55,6 +55,18 @@
         assertEquals(PlacementObstacle.LATE_FINISH, refused.obstacle)
     }
 
+    @Test
+    fun `an engine whose streams pause too long gets nothing more to read until they flow`() {
+        val strict = limits.copy(pauseLimitMs = 500.0)
+        engines.forEach { engine -> repeat(20) { engine.load.onEvent(430, 6, 0) } }
+
+        val refused = assertIs<PlacementDecision.Refused>(place(strict))
+        assertEquals(PlacementObstacle.LONG_PAUSES, refused.obstacle)
+
+        engines.forEach { engine -> repeat(20) { engine.load.onEvent(60, 6, 100) } }
+        assertIs<PlacementDecision.Chosen>(placeGeneration(strict, engines, RETENTION_MS, 100))
+    }
+
     @Test
     fun `an engine without a place or memory is passed over`() {
         val full = engine("full", places = 1).also { it.load.onSent(generation(9, 0, 10), 10, 0) }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallRun.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallRun.kt
@@ -294,7 +294,7 @@
                 if (firstEventMs == null) firstEventMs = nowMs
             } else {
                 val tokens = call.pool.engine?.tokensPerEvent ?: 1
-                target.state.engine.onEvent(nowMs - lastEventMs, tokens)
+                target.state.engine.onEvent(nowMs - lastEventMs, tokens, nowMs)
                 longestPauseMs = maxOf(longestPauseMs, nowMs - lastEventMs)
             }
             lastEventMs = nowMs
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TargetChooser.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TargetChooser.kt
@@ -115,9 +115,13 @@
     ): TargetDecision {
         val standing = call.workspace?.let { shares.standing(it, nowMs) } ?: 0.0
         val elapsedMs = call.times.elapsedMs + nowMs - call.times.arrivedMs
-        val limits = admissionLimits(call.route.objectiveMs, elapsedMs, standing)
         val left = (call.times.finalMs - nowMs).toDouble()
-        val request = PlacementRequest(generation, limits.waitMs, limits.queueMs, left)
+        val request = if (call.delivered) {
+            PlacementRequest(generation, left, left, left)
+        } else {
+            val limits = admissionLimits(call.route.objectiveMs, elapsedMs, standing)
+            PlacementRequest(generation, limits.waitMs, limits.queueMs, left, call.route.pauseLimitMs.toDouble())
+        }
         val retentionMs = retentionMs(engine, beliefs.directory.of(call.pool.id).size)
         val endpoints = eligible.associateBy { it.entry.endpoint.id }
         val assigned = lanes.assign(endpoints.keys)
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayFixture.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayFixture.kt
@@ -158,6 +158,7 @@
         resumable = resumable,
         timeoutMs = timeoutMs,
         objectiveMs = 2_000,
+        pauseLimitMs = 500,
         priority = 0,
         maximumAttempts = 2,
         public = true,
--- a/corneltrack-world/src/main/kotlin/corneltrack/world/routing/Route.kt
+++ b/corneltrack-world/src/main/kotlin/corneltrack/world/routing/Route.kt
@@ -32,6 +32,7 @@
  * @property resumable whether an answer of events may go on at another endpoint after its last event.
  * @property timeoutMs the longest time that a request is kept waiting for its whole answer.
  * @property objectiveMs the time within which an answer, or its first event, has its full value.
+ * @property pauseLimitMs the longest pause between two events at which an answer has its full value.
  * @property priority the rank; 0 is the most urgent.
  * @property maximumAttempts the most endpoints that one request may be sent to.
  * @property public whether callers need no key.
@@ -46,6 +47,7 @@
     val resumable: Boolean,
     val timeoutMs: Long,
     val objectiveMs: Long,
+    val pauseLimitMs: Long,
     val priority: Int,
     val maximumAttempts: Int,
     val public: Boolean,
