--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/belief/EndpointDirectory.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/belief/EndpointDirectory.kt
@@ -53,13 +53,15 @@
 
     /** Takes in that the entry of [id] was removed or names no endpoint any more. */
     public fun onRemoved(id: EndpointId, storeSteady: Boolean, nowMs: Long): DirectoryChange {
-        val before = known[id] ?: return DirectoryChange.NONE
-        if (!storeSteady && before.entry.live) {
-            if (before.lapsesMs == null) known[id] = before.copy(lapsesMs = nowMs + graceMs)
-            return DirectoryChange.LAPSING
+        val before = known[id]
+        val expired = before != null && before.entry.live && !storeSteady
+        return when {
+            before == null -> DirectoryChange.NONE
+            expired -> DirectoryChange.LAPSING.also {
+                if (before.lapsesMs == null) known[id] = before.copy(lapsesMs = nowMs + graceMs)
+            }
+            else -> DirectoryChange.REMOVED.also { remove(id, nowMs) }
         }
-        remove(id, nowMs)
-        return DirectoryChange.REMOVED
     }
 
     /** Drops the entries whose grace time is over and returns their names. */
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/limits/RelayDecision.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/limits/RelayDecision.kt
@@ -70,13 +70,15 @@
         is RelayEnd.NotSent -> if (inTime) RelayStep.SendAgain else request.unanswered(end.reason)
         is RelayEnd.NotRun -> if (mayRepeat()) RelayStep.SendAgain else request.unanswered("status ${end.status}")
         is RelayEnd.Failed -> if (request.repeatable && mayRepeat()) RelayStep.SendAgain else RelayStep.Deliver
-        is RelayEnd.Broken -> when {
-            end.delivered -> if (request.resumable && mayRepeat()) RelayStep.Resume else RelayStep.Abort(end.reason)
-            request.repeatable && mayRepeat() -> RelayStep.SendAgain
-            else -> RelayStep.AnswerUnknown(end.reason)
-        }
+        is RelayEnd.Broken -> request.broken(end, mayRepeat)
     }
 }
 
+private fun RelayedRequest.broken(end: RelayEnd.Broken, mayRepeat: () -> Boolean): RelayStep = when {
+    end.delivered -> if (resumable && mayRepeat()) RelayStep.Resume else RelayStep.Abort(end.reason)
+    repeatable && mayRepeat() -> RelayStep.SendAgain
+    else -> RelayStep.AnswerUnknown(end.reason)
+}
+
 private fun RelayedRequest.unanswered(reason: String): RelayStep =
     if (mayHaveRun && !repeatable) RelayStep.AnswerUnknown(reason) else RelayStep.RefuseNotRun(reason)
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/EngineLoad.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/EngineLoad.kt
@@ -108,7 +108,8 @@
     /** Notes a later event of a stream that carries [tokens] and came [sinceLastMs] after the one before. */
     public fun onEvent(sinceLastMs: Long, tokens: Int, nowMs: Long) {
         msPerOutputToken += PACE_SMOOTHING * (sinceLastMs.toDouble() / tokens - msPerOutputToken)
-        gapMs = if (nowMs - gapAtMs > GAP_LIFE_MS) sinceLastMs.toDouble() else gapMs + GAP_SMOOTHING * (sinceLastMs - gapMs)
+        val stale = nowMs - gapAtMs > GAP_LIFE_MS
+        gapMs = if (stale) sinceLastMs.toDouble() else gapMs + GAP_SMOOTHING * (sinceLastMs - gapMs)
         gapAtMs = nowMs
     }
 
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/EnginePlacement.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/EnginePlacement.kt
@@ -19,14 +19,14 @@
  *   farther engine that has the prompt's beginning is the better choice as long as it answers in time.
  * @property handicapMs what speaks against using it, as time: billed traffic between regions, prompts of another size.
  */
-public class EngineCandidate(
-    public val id: EndpointId,
-    public val load: EngineLoad,
-    public val prefixes: PrefixMemory,
-    public val places: Int,
-    public val memoryTokens: Long,
-    public val distanceMs: Double,
-    public val handicapMs: Double,
+public data class EngineCandidate(
+    val id: EndpointId,
+    val load: EngineLoad,
+    val prefixes: PrefixMemory,
+    val places: Int,
+    val memoryTokens: Long,
+    val distanceMs: Double,
+    val handicapMs: Double,
 )
 
 /**
@@ -105,14 +105,15 @@
     val options = candidates.withKeptTokens(request.generation, retentionMs, nowMs)
         .map { (candidate, kept) -> Option(candidate, request, kept, nowMs) }
     val best = options.filter { it.obstacle == null }.minByOrNull { it.score }
-    if (best != null) {
-        return PlacementDecision.Chosen(best.candidate, best.waitMs, best.unread)
-    }
+    return best?.let { PlacementDecision.Chosen(it.candidate, it.waitMs, it.unread) } ?: refusal(request, options)
+}
+
+private fun refusal(request: PlacementRequest, options: List<Option>): PlacementDecision.Refused {
     val nearest = options.minByOrNull { it.waitMs }
-        ?: return PlacementDecision.Refused(PlacementObstacle.NO_ENGINE, Double.POSITIVE_INFINITY, SHORTEST_RETRY_MS)
-    val excessMs = (nearest.waitMs - request.waitLimitMs).toLong()
-    val obstacle = nearest.obstacle ?: PlacementObstacle.NO_ENGINE
-    return PlacementDecision.Refused(obstacle, nearest.waitMs, maxOf(SHORTEST_RETRY_MS, excessMs))
+    val waitMs = nearest?.waitMs ?: Double.POSITIVE_INFINITY
+    val excessMs = if (waitMs.isFinite()) (waitMs - request.waitLimitMs).toLong() else SHORTEST_RETRY_MS
+    val obstacle = nearest?.obstacle ?: PlacementObstacle.NO_ENGINE
+    return PlacementDecision.Refused(obstacle, waitMs, maxOf(SHORTEST_RETRY_MS, excessMs))
 }
 
 private class Option(val candidate: EngineCandidate, request: PlacementRequest, kept: Double, nowMs: Long) {
@@ -128,10 +129,13 @@
     private val memory = total.memoryTokens + unread + generation.outputTokens
     private val startsInTime = waitMs <= request.waitLimitMs || queueMs <= request.queueLimitMs
 
+    private val pauses =
+        unread >= PAUSING_TOKENS && load.recentGapMs(nowMs) > request.pauseLimitMs * PAUSE_USED
+
     /** What keeps the engine from taking the request, or null. */
     val obstacle: PlacementObstacle? = when {
         !startsInTime -> PlacementObstacle.LATE_START
-        unread >= PAUSING_TOKENS && load.recentGapMs(nowMs) > request.pauseLimitMs * PAUSE_USED -> PlacementObstacle.LONG_PAUSES
+        pauses -> PlacementObstacle.LONG_PAUSES
         finishMs > request.timeLeftMs * FINISH_MARGIN -> PlacementObstacle.LATE_FINISH
         total.running >= candidate.places * PLACES_USED -> PlacementObstacle.NO_PLACE
         memory > candidate.memoryTokens * MEMORY_USED -> PlacementObstacle.NO_MEMORY
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/PrefixMemory.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/PrefixMemory.kt
@@ -21,13 +21,11 @@
 
     /** Returns how many tokens at the start of [parts] the engine is likely to have. */
     public fun keptTokens(parts: List<PromptPart>, nowMs: Long, retentionMs: Long): Int {
-        var kept = 0
-        for (part in parts) {
-            val usedMs = lastUse[part.chain] ?: break
-            if (nowMs - usedMs > retentionMs) break
-            kept += part.tokens
+        val kept = parts.takeWhile { part ->
+            val usedMs = lastUse[part.chain]
+            usedMs != null && nowMs - usedMs <= retentionMs
         }
-        return kept
+        return kept.sumOf { it.tokens }
     }
 
     /** Forgets everything, as after a restart of the engine. */
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/PromptLanes.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/PromptLanes.kt
@@ -40,14 +40,16 @@
         val lanes = HashMap<EndpointId, Int>()
         var next = 0
         for (size in tokens.indices.reversed()) {
-            val wanted = if (size == 0 || total <= 0) 0 else ceil(engines.size * tokens[size] / total * HEADROOM - ROUNDING).toInt()
-            val left = ranked.size - next - size
-            val count = if (size == 0) ranked.size - next else minOf(wanted, maxOf(0, left))
+            val left = ranked.size - next
+            val count = if (size == 0) left else minOf(wanted(size, ranked.size, total), maxOf(0, left - size))
             repeat(count) { lanes[ranked[next++]] = size }
         }
         return lanes
     }
 
+    private fun wanted(size: Int, engines: Int, total: Double): Int =
+        if (total <= 0) 0 else ceil(engines * tokens[size] / total * HEADROOM - ROUNDING).toInt()
+
     private companion object {
         /** A lane takes a further engine once it wants more than this part of it. */
         const val ROUNDING = 0.35
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/ServicePlacement.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/ServicePlacement.kt
@@ -74,12 +74,13 @@
  * @param limitMs the longest expected time to the answer at which the request is still sent.
  */
 public fun placeServiceRequest(candidates: List<ServiceCandidate>, limitMs: Double, nowMs: Long): ServiceDecision {
-    val best = candidates.minByOrNull { it.expectedMs(nowMs) } ?: return ServiceDecision.Refused(NO_ENDPOINT_RETRY_MS)
-    val expected = best.expectedMs(nowMs)
-    if (expected <= limitMs) {
-        return ServiceDecision.Chosen(best, expected)
+    val best = candidates.minByOrNull { it.expectedMs(nowMs) }
+    val expectedMs = best?.expectedMs(nowMs) ?: Double.POSITIVE_INFINITY
+    return when {
+        best == null -> ServiceDecision.Refused(NO_ENDPOINT_RETRY_MS)
+        expectedMs <= limitMs -> ServiceDecision.Chosen(best, expectedMs)
+        else -> ServiceDecision.Refused(maxOf(SHORTEST_SERVICE_RETRY_MS, (expectedMs - limitMs).toLong()))
     }
-    return ServiceDecision.Refused(maxOf(SHORTEST_SERVICE_RETRY_MS, (expected - limitMs).toLong()))
 }
 
 private const val NO_ENDPOINT_RETRY_MS = 300L
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/WorkspaceShares.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/WorkspaceShares.kt
@@ -104,15 +104,17 @@
 /** Returns the max-min level of [rates], infinite where what is granted covers what is asked. */
 internal fun fairLevel(rates: Collection<WorkspaceRate>): Double {
     val granted = rates.sumOf { it.granted }
-    if (rates.sumOf { it.asked } <= granted * CONTENTION) {
-        return Double.POSITIVE_INFINITY
-    }
-    var left = granted
-    var level = 0.0
-    rates.map { it.asked }.sorted().forEachIndexed { index, asked ->
-        level = left / (rates.size - index)
-        if (asked > level) return level
-        left -= asked
+    val contended = rates.sumOf { it.asked } > granted * CONTENTION
+    return if (contended) waterLevel(rates.map { it.asked }.sorted(), granted) else Double.POSITIVE_INFINITY
+}
+
+/** Returns the highest level at which the least of it and each of [asked], which rise, add up to [total]. */
+private fun waterLevel(asked: List<Double>, total: Double): Double {
+    var left = total
+    asked.forEachIndexed { index, demand ->
+        val level = left / (asked.size - index)
+        if (demand > level) return level
+        left -= demand
     }
-    return level
+    return Double.POSITIVE_INFINITY
 }
--- a/corneltrack-policy/src/test/kotlin/corneltrack/policy/placing/WorkspaceSharesTest.kt
+++ b/corneltrack-policy/src/test/kotlin/corneltrack/policy/placing/WorkspaceSharesTest.kt
@@ -59,27 +59,31 @@
 
     @Test
     fun `a load of one greedy and four modest workspaces is granted max-min`() {
-        val limit = 1_000L
         val modest = (1..4).map { WorkspaceId("modest-$it") }
         val granted = HashMap<WorkspaceId, Long>()
         for (nowMs in 0L until 20_000 step 100) {
-            var left = limit
-            val asks = List(30) { large } + modest
-            asks.forEach { workspace ->
-                shares.onAsked(workspace, 100, nowMs)
-                val limits = admissionLimits(1_000, 0, shares.standing(workspace, nowMs))
-                val queueMs = (limit - left) * 0.85
-                if (left >= 100 && queueMs <= limits.waitMs) {
-                    left -= 100
-                    shares.onGranted(workspace, 100, nowMs)
-                    if (nowMs >= WARM_UP_MS) granted.merge(workspace, 100, Long::plus)
-                }
-            }
+            val grants = grants(List(30) { large } + modest, nowMs)
+            if (nowMs >= WARM_UP_MS) grants.forEach { granted.merge(it, 100, Long::plus) }
         }
 
         modest.forEach { assertEquals(19_000L, granted[it], "$it asked for 19000 tokens and is under its share") }
     }
 
+    /** Lets each of [asks] ask for 100 tokens of an engine that reads 1,000 at once, and returns who was granted. */
+    private fun grants(asks: List<WorkspaceId>, nowMs: Long): List<WorkspaceId> {
+        var taken = 0L
+        return asks.filter { workspace ->
+            shares.onAsked(workspace, 100, nowMs)
+            val limits = admissionLimits(1_000, 0, shares.standing(workspace, nowMs))
+            val fits = taken < 1_000 && taken * 0.85 <= limits.waitMs
+            if (fits) {
+                taken += 100
+                shares.onGranted(workspace, 100, nowMs)
+            }
+            fits
+        }
+    }
+
     private fun ask(workspace: WorkspaceId, asked: Long, granted: Long) {
         shares.onAsked(workspace, asked, 0)
         shares.onGranted(workspace, granted, 0)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/Admission.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/Admission.kt
@@ -10,11 +10,11 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponseStatus
-import java.util.UUID
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
+import java.util.UUID
 
 private const val CHAT_PATH = "/v1/chat/completions"
 private const val MODELS_PATH = "/v1/models"
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/Gateway.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/Gateway.kt
@@ -9,12 +9,12 @@
 import corneltrack.world.PoolKind
 import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.HttpResponseStatus
-import java.util.concurrent.atomic.AtomicBoolean
-import java.util.concurrent.atomic.AtomicLong
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.encodeToString
 import kotlinx.serialization.json.Json
+import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.atomic.AtomicLong
 
 private val modelJson = Json { encodeDefaults = true }
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/Headers.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/Headers.kt
@@ -38,7 +38,9 @@
 
 /** Returns a copy without the headers that hold for one connection only. */
 internal fun HttpHeaders.endToEnd(): HttpHeaders {
-    val named = getAll(HttpHeaderNames.CONNECTION).flatMap { it.split(',') }.map { it.trim() }.filter { it.isNotEmpty() }
+    val named = getAll(
+        HttpHeaderNames.CONNECTION
+    ).flatMap { it.split(',') }.map { it.trim() }.filter { it.isNotEmpty() }
     val passed = DefaultHttpHeaders().set(this)
     (HOP_HEADERS + named).forEach { passed.remove(it.toString()) }
     return passed
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/RequestRunner.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/RequestRunner.kt
@@ -12,9 +12,9 @@
 import corneltrack.world.PoolId
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.HttpResponseStatus
+import org.apache.logging.log4j.LogManager
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
-import org.apache.logging.log4j.LogManager
 
 private val logger = LogManager.getLogger("corneltrack.router.RequestRunner")
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/RoutedRequest.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/RoutedRequest.kt
@@ -6,15 +6,12 @@
 import corneltrack.world.EndpointId
 import corneltrack.world.Pool
 import corneltrack.world.WorkspaceId
-import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
-import io.netty.handler.codec.http.HttpResponse
-import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpVersion
 
 /** What is sent to an endpoint: the caller's request without its secrets and connection headers. */
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/Router.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/Router.kt
@@ -24,12 +24,12 @@
 import io.netty.channel.nio.NioIoHandler
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.util.concurrent.DefaultThreadFactory
-import java.util.UUID
-import java.util.concurrent.ScheduledExecutorService
-import java.util.concurrent.TimeUnit
 import kotlinx.serialization.encodeToString
 import org.apache.logging.log4j.Level
 import org.apache.logging.log4j.LogManager
+import java.util.UUID
+import java.util.concurrent.ScheduledExecutorService
+import java.util.concurrent.TimeUnit
 
 private const val TICK_MS = 40L
 private const val EXPIRE_EVERY_TICKS = 6
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/callers/StrictServerCodec.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/callers/StrictServerCodec.kt
@@ -16,7 +16,9 @@
  *
  * @param headLimit the largest head, in bytes.
  */
-internal class StrictServerCodec(headLimit: Int) : CombinedChannelDuplexHandler<HttpRequestDecoder, HttpResponseEncoder>() {
+internal class StrictServerCodec(
+    headLimit: Int
+) : CombinedChannelDuplexHandler<HttpRequestDecoder, HttpResponseEncoder>() {
     private var method: HttpMethod? = null
 
     init {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallAdmission.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallAdmission.kt
@@ -4,8 +4,8 @@
 import corneltrack.router.callers.Refusal
 import corneltrack.world.WorkspaceId
 import corneltrack.world.routing.KeyedWorkspace
-import corneltrack.world.routing.RoutedPool
 import corneltrack.world.routing.Route
+import corneltrack.world.routing.RoutedPool
 import corneltrack.world.routing.RoutingTable
 import io.netty.handler.codec.http.HttpResponseStatus
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallRun.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallRun.kt
@@ -331,7 +331,9 @@
 
         private fun onWholeEnd(status: Int) {
             val failed = status >= FIRST_REDIRECT
-            sign(if (status >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) EndpointSign.FAILED else EndpointSign.GOOD)
+            sign(
+                if (status >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code()) EndpointSign.FAILED else EndpointSign.GOOD
+            )
             if (!failed) target.state.service.onAnswer(maxOf(0, parts.nowMs() - sentMs - target.distanceMs.toLong()))
             when {
                 call.delivered -> {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayedCall.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayedCall.kt
@@ -4,8 +4,8 @@
 import corneltrack.router.callers.AnswerSink
 import corneltrack.world.EndpointId
 import corneltrack.world.WorkspaceId
-import corneltrack.world.routing.RoutedPool
 import corneltrack.world.routing.Route
+import corneltrack.world.routing.RoutedPool
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/EventRelayTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/EventRelayTest.kt
@@ -33,7 +33,9 @@
                 socket.send(signedStream(request) + chunk(event(1) + event(2) + event(3).take(7)))
                 socket.close()
             } else {
-                socket.send(signedStream(request) + chunk(event(after) + event(after + 1) + event(after + 2)) + LAST_CHUNK)
+                socket.send(
+                    signedStream(request) + chunk(event(after) + event(after + 1) + event(after + 2)) + LAST_CHUNK
+                )
             }
         }
         fixture.endpoint("a", script = script)
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayRouterTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayRouterTest.kt
@@ -46,7 +46,11 @@
     @Test
     fun `an idempotent request goes to another endpoint when its connection breaks`() {
         fixture.endpoint("a", "services") { _, socket -> socket.reset() }
-        val good = fixture.endpoint("b", "services", "there") { request, socket -> socket.send(signed(request, "done")) }
+        val good = fixture.endpoint(
+            "b",
+            "services",
+            "there"
+        ) { request, socket -> socket.send(signed(request, "done")) }
         fixture.start()
         repeat(20) { fixture.call("/once/allowance") }
 
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/ScriptedEndpoint.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/ScriptedEndpoint.kt
@@ -16,7 +16,9 @@
 }
 
 /** Answers requests with the raw bytes that a script writes, one connection a thread. */
-internal class ScriptedEndpoint(private val script: (request: ReadRequest, connection: Socket) -> Unit) : AutoCloseable {
+internal class ScriptedEndpoint(
+    private val script: (request: ReadRequest, connection: Socket) -> Unit
+) : AutoCloseable {
     private val server = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
     private val connections = CopyOnWriteArrayList<Socket>()
 
