--- a/corneltrack-router/src/main/kotlin/corneltrack/router/EndpointConnections.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/EndpointConnections.kt
@@ -47,10 +47,13 @@
 
     /** Returns a kept connection that is still good and was used within [idleLimitMs], or null. */
     fun take(loop: EventLoop, endpoint: Endpoint, nowMs: Long, idleLimitMs: Long = this.idleLimitMs): Channel? {
-        val queue = idle[Key(loop, endpoint.id, endpoint.address)] ?: return null
-        val newest = queue.peekFirst() ?: return null
-        if (nowMs - newest.attr(IDLE_SINCE).get() >= idleLimitMs) return null
-        val fresh = generateSequence { queue.pollFirst() }.firstOrNull { it.isFresh(nowMs) }
+        val queue = idle[Key(loop, endpoint.id, endpoint.address)]
+        val used = queue?.peekFirst()?.attr(IDLE_SINCE)?.get()
+        val fresh = if (queue == null || used == null || nowMs - used >= idleLimitMs) {
+            null
+        } else {
+            generateSequence { queue.pollFirst() }.firstOrNull { it.isFresh(nowMs) }
+        }
         fresh?.pipeline()?.remove(IdleGuard::class.java)
         return fresh
     }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerConnection.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerConnection.kt
@@ -67,6 +67,7 @@
     private var answer: CallerAnswer? = null
     private var closing = false
     private var timer: ScheduledFuture<*>? = null
+    private val assembly = Assembly()
     private val heldBack = ArrayDeque<Any>()
 
     override fun channelActive(context: ChannelHandlerContext) {
@@ -88,7 +89,8 @@
             return
         }
         try {
-            if (!closing) onMessage(context, message)
+            if (!closing && message is HttpRequest) assembly.onHead(context, message)
+            if (!closing && message is HttpContent && head != null) assembly.onContent(context, message)
         } finally {
             ReferenceCountUtil.release(message)
         }
@@ -118,53 +120,51 @@
         context.close()
     }
 
-    private fun onMessage(context: ChannelHandlerContext, message: Any) {
-        if (message is HttpRequest) onHead(context, message)
-        if (message is HttpContent && head != null) onContent(context, message)
-    }
-
-    private fun onHead(context: ChannelHandlerContext, request: HttpRequest) {
-        val failure = request.decoderResult().cause()
-        if (failure != null) {
-            refuseAndClose(context, unreadable(failure))
-            return
-        }
-        if (HttpUtil.is100ContinueExpected(request)) {
-            context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
+    /** Puts a request together from its head and the pieces of its body. */
+    private inner class Assembly {
+        fun onHead(context: ChannelHandlerContext, request: HttpRequest) {
+            val failure = request.decoderResult().cause()
+            if (failure != null) {
+                refuseAndClose(context, unreadable(failure))
+                return
+            }
+            if (HttpUtil.is100ContinueExpected(request)) {
+                context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
+            }
+            timer?.cancel(false)
+            head = request
+            body = context.alloc().compositeBuffer(Int.MAX_VALUE)
+            timer = context.after(BODY_TIMEOUT_MS) { refuseAndClose(context, BODY_TIMEOUT) }
         }
-        timer?.cancel(false)
-        head = request
-        body = context.alloc().compositeBuffer(Int.MAX_VALUE)
-        timer = context.after(BODY_TIMEOUT_MS) { refuseAndClose(context, BODY_TIMEOUT) }
-    }
 
-    private fun onContent(context: ChannelHandlerContext, content: HttpContent) {
-        val collected = body ?: return
-        when {
-            content.decoderResult().isFailure -> refuseAndClose(context, UNREADABLE)
-            collected.readableBytes() + content.content().readableBytes() > limits.bodyBytes ->
-                refuseAndClose(context, BODY_TOO_LARGE)
-            else -> {
-                collected.addComponent(true, content.content().retain())
-                if (content is LastHttpContent) onComplete(context)
+        fun onContent(context: ChannelHandlerContext, content: HttpContent) {
+            val collected = body ?: return
+            when {
+                content.decoderResult().isFailure -> refuseAndClose(context, UNREADABLE)
+                collected.readableBytes() + content.content().readableBytes() > limits.bodyBytes ->
+                    refuseAndClose(context, BODY_TOO_LARGE)
+                else -> {
+                    collected.addComponent(true, content.content().retain())
+                    if (content is LastHttpContent) onComplete(context)
+                }
             }
         }
-    }
 
-    private fun onComplete(context: ChannelHandlerContext) {
-        timer?.cancel(false)
-        val request = CallerRequest(head!!, body!!.bytes())
-        body?.release()
-        head = null
-        body = null
-        val keepAlive = HttpUtil.isKeepAlive(request.head)
-        connections.onRequest()
-        val current = CallerAnswer(context, { keepAlive && !connections.leaving }, connections::onWritten) {
-            onAnswered(context)
+        private fun onComplete(context: ChannelHandlerContext) {
+            timer?.cancel(false)
+            val request = CallerRequest(head!!, body!!.bytes())
+            body?.release()
+            head = null
+            body = null
+            val keepAlive = HttpUtil.isKeepAlive(request.head)
+            connections.onRequest()
+            val current = CallerAnswer(context, { keepAlive && !connections.leaving }, connections::onWritten) {
+                onAnswered(context)
+            }
+            answer = current
+            val cancel = handle(request, context.channel().eventLoop() as EventLoop, current)
+            current.onGone = cancel
         }
-        answer = current
-        val cancel = handle(request, context.channel().eventLoop() as EventLoop, current)
-        current.onGone = cancel
     }
 
     private fun onAnswered(context: ChannelHandlerContext) {
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/AnswerDelivery.kt
@@ -0,0 +1,91 @@
+package corneltrack.router.relay
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.HttpResponse
+
+private const val BUFFER_LIMIT_BYTES = 1024 * 1024
+
+/** Takes the body of one endpoint's answer on its way to the caller. */
+internal interface AnswerDelivery : AutoCloseable {
+    /** Takes a piece of the body; does not release it. */
+    fun onContent(data: ByteBuf)
+
+    /** Sends on what is left of a complete answer, and its end. */
+    fun deliver()
+}
+
+/**
+ * Passes events on as they come.
+ *
+ * The head goes out with the first event, so that a request whose endpoint breaks off before can still get another
+ * answer. Events that the caller has already are left out.
+ *
+ * @param onEvent runs at each event of the endpoint.
+ */
+internal class EventDelivery(
+    private val call: RelayedCall,
+    private val head: HttpResponse,
+    private val onEvent: () -> Unit,
+) : AnswerDelivery {
+    private val events = EventSplitter()
+    private val resumesAfter = call.lastEvent?.toLongOrNull()
+
+    override fun onContent(data: ByteBuf) = events.feed(data).forEach(::pass)
+
+    override fun deliver() {
+        call.deliverHead(head)
+        if (events.midEvent) call.sink.content(events.rest())
+        call.sink.end()
+    }
+
+    override fun close() = events.close()
+
+    private fun pass(event: StreamEvent) {
+        onEvent()
+        if (isRepeated(event)) {
+            event.bytes.release()
+            return
+        }
+        call.deliverHead(head)
+        event.id?.let { call.lastEvent = it }
+        call.sink.content(event.bytes)
+    }
+
+    private fun isRepeated(event: StreamEvent): Boolean {
+        val id = event.id?.toLongOrNull()
+        return resumesAfter != null && id != null && id <= resumesAfter
+    }
+}
+
+/**
+ * Keeps a body until it is complete, so that one that breaks off reaches nobody.
+ *
+ * A body past the buffer's limit is passed on as it comes from there on.
+ */
+internal class WholeDelivery(private val call: RelayedCall, private val head: HttpResponse) : AnswerDelivery {
+    private val body: ByteBuf = Unpooled.buffer(0)
+
+    override fun onContent(data: ByteBuf) {
+        body.writeBytes(data, data.readerIndex(), data.readableBytes())
+        if (call.delivered || body.readableBytes() > BUFFER_LIMIT_BYTES) sendBody()
+    }
+
+    override fun deliver() {
+        sendBody()
+        call.sink.end()
+    }
+
+    override fun close() = Unit
+
+    private fun sendBody() {
+        call.deliverHead(head)
+        if (body.isReadable) call.sink.content(body.readBytes(body.readableBytes()))
+    }
+}
+
+private fun RelayedCall.deliverHead(head: HttpResponse) {
+    if (delivered) return
+    delivered = true
+    sink.head(head)
+}
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallAdmission.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallAdmission.kt
@@ -1,6 +1,5 @@
 package corneltrack.router.relay
 
-import corneltrack.router.callers.CallerRequest
 import corneltrack.router.callers.Refusal
 import corneltrack.world.WorkspaceId
 import corneltrack.world.routing.KeyedWorkspace
@@ -36,15 +35,16 @@
  * @param draw a random number in 0..1 that picks among the pools of a split route.
  */
 internal fun admitCall(facts: CallerFacts, table: RoutingTable?, keysTooOld: Boolean, draw: Double): CallAdmission {
-    if (table == null) return CallAdmission.Refused(NO_CONFIGURATION)
-    val route = table.routeOf(facts.host, facts.path) ?: return CallAdmission.Refused(NO_ROUTE)
-    val pool = route.draw(draw)?.let { table.pools[it.pool] } ?: return CallAdmission.Refused(NO_POOL)
-    if (route.public || !table.keyed) return CallAdmission.Accepted(route, pool, null)
-    val workspace = facts.key?.let(table::workspaceOf)
+    val route = table?.routeOf(facts.host, facts.path)
+    val pool = route?.draw(draw)?.let { table.pools[it.pool] }
     return when {
+        table == null -> CallAdmission.Refused(NO_CONFIGURATION)
+        route == null -> CallAdmission.Refused(NO_ROUTE)
+        pool == null -> CallAdmission.Refused(NO_POOL)
+        route.public || !table.keyed -> CallAdmission.Accepted(route, pool, null)
         keysTooOld -> CallAdmission.Refused(KEYS_TOO_OLD)
-        workspace == null -> CallAdmission.Refused(UNKNOWN_KEY)
-        else -> CallAdmission.Accepted(route, pool, workspace)
+        else -> facts.key?.let(table::workspaceOf)?.let { CallAdmission.Accepted(route, pool, it) }
+            ?: CallAdmission.Refused(UNKNOWN_KEY)
     }
 }
 
@@ -54,9 +54,6 @@
         pools.getOrNull(sums.indexOfFirst { it > target }) ?: pools.lastOrNull()
     }
 
-/** Returns whether the caller's head names the request in a way that can be served. */
-internal fun CallerRequest.hasProperPath(): Boolean = head.uri().startsWith("/")
-
 private val NO_CONFIGURATION = Refusal(
     HttpResponseStatus.SERVICE_UNAVAILABLE,
     "no_configuration",
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointAttempt.kt
@@ -0,0 +1,156 @@
+package corneltrack.router.relay
+
+import corneltrack.policy.limits.EndpointSign
+import corneltrack.policy.limits.RelayEnd
+import corneltrack.router.endToEnd
+import corneltrack.world.routing.AnswerForm
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpVersion
+
+private const val FIRST_SUCCESS = 200
+private const val FIRST_REDIRECT = 300
+private const val REPEATABLE_REUSE_MS = 2_000L
+
+/** Shorter than any idle timeout that an endpoint can state, since a request that is cut off cannot be sent again. */
+private const val AT_MOST_ONCE_REUSE_MS = 500L
+
+/** Learns what became of an attempt; exactly one of these is called, once. */
+internal interface AttemptOwner {
+    /** The answer of [attempt] is complete and can be delivered to the caller. */
+    fun onAnswered(attempt: EndpointAttempt)
+
+    /** The attempt failed. */
+    fun onFailed(attempt: EndpointAttempt, end: RelayEnd)
+}
+
+/** Has one endpoint answer one request. Only used on the event loop. */
+internal class EndpointAttempt(
+    private val call: RelayedCall,
+    val target: Target,
+    private val parts: RelayParts,
+    private val owner: AttemptOwner,
+) {
+    private val exchange =
+        EndpointExchange(target.endpoint, call.requestId, parts.connections, parts.dialect, parts.loop, Listener())
+    private val timing = EventTiming(call, target)
+    private var delivery: AnswerDelivery? = null
+    private var notRun = false
+    private var reused = false
+    private var left = false
+
+    /** Whether the request has left. */
+    var sent: Boolean = false
+        private set
+
+    /** The status of the answer, or null before its head. */
+    var status: Int? = null
+        private set
+
+    /** Begins. */
+    fun begin() {
+        val reuseIdleMs = if (call.route.repeatable) REPEATABLE_REUSE_MS else AT_MOST_ONCE_REUSE_MS
+        exchange.begin(reuseIdleMs, parts.nowMs())
+    }
+
+    /** Sends the answer, which is complete, on to the caller. */
+    fun deliver() = delivery?.deliver()
+
+    /** Ends the exchange if it still runs and gives back the endpoint's load. */
+    fun leave() {
+        if (left) return
+        left = true
+        exchange.cancel()
+        if (target.run != null) target.state.engine.onEnd(target.run) else target.state.service.onEnd()
+        delivery?.close()
+    }
+
+    /** Reads on or pauses, as the caller's connection allows. */
+    fun onWritable(writable: Boolean) = exchange.onWritable(writable)
+
+    private inner class Listener : ExchangeListener {
+        override fun onConnected(reused: Boolean): DefaultFullHttpRequest? {
+            if (call.over) return null
+            this@EndpointAttempt.reused = reused
+            sent = true
+            timing.onSent(parts.nowMs())
+            call.attempts++
+            return call.messageTo(target, parts)
+        }
+
+        override fun onNotSent(reason: String) = fail(EndpointSign.UNREACHABLE, RelayEnd.NotSent(reason))
+
+        override fun onHead(response: HttpResponse, facts: AnswerFacts) {
+            val code = response.status().code()
+            val events = code in FIRST_SUCCESS until FIRST_REDIRECT && call.route.form == AnswerForm.EVENTS
+            status = code
+            facts.occupied?.let { target.state.service.onReport(it, parts.nowMs()) }
+            notRun = facts.notRun || code == HttpResponseStatus.MISDIRECTED_REQUEST.code()
+            when {
+                notRun -> Unit
+                !facts.genuine -> onBroken("unsigned answer with status $code")
+                events -> delivery = EventDelivery(call, response) { timing.onEvent(parts.nowMs()) }
+                else -> delivery = WholeDelivery(call, response)
+            }
+        }
+
+        override fun onContent(data: ByteBuf) {
+            delivery?.onContent(data)
+            exchange.onWritable(call.sink.writable)
+        }
+
+        override fun onEnd() {
+            val code = status ?: 0
+            when {
+                notRun -> onNotRun(code)
+                code < FIRST_REDIRECT || call.delivered -> onSuccess()
+                else -> {
+                    val failing = code >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code()
+                    fail(if (failing) EndpointSign.FAILED else EndpointSign.GOOD, RelayEnd.Failed(code))
+                }
+            }
+        }
+
+        /** A kept connection may have broken with no fault of the endpoint. */
+        override fun onBroken(reason: String) {
+            exchange.cancel()
+            parts.connections.discard(target.endpoint.id)
+            fail(if (reused) null else EndpointSign.FAILED, RelayEnd.Broken(reason, call.delivered))
+        }
+
+        private fun onSuccess() {
+            if (call.route.form == AnswerForm.WHOLE) target.state.service.onAnswer(timing.workMs(parts.nowMs()))
+            parts.onSign(target, EndpointSign.GOOD)
+            owner.onAnswered(this@EndpointAttempt)
+        }
+
+        /** A refusal tells of an endpoint that is full or failing, 421 of one that is no longer there. */
+        private fun onNotRun(code: Int) {
+            val gone = code == HttpResponseStatus.MISDIRECTED_REQUEST.code()
+            fail(if (gone) EndpointSign.UNREACHABLE else EndpointSign.FAILED, RelayEnd.NotRun(code))
+        }
+
+        private fun fail(sign: EndpointSign?, end: RelayEnd) {
+            if (sign != null) parts.onSign(target, sign)
+            owner.onFailed(this@EndpointAttempt, end)
+        }
+    }
+}
+
+/** Returns the message for the endpoint of [target]: what the caller sent, in the endpoint's terms. */
+private fun RelayedCall.messageTo(target: Target, parts: RelayParts): DefaultFullHttpRequest {
+    val content = Unpooled.wrappedBuffer(message.body)
+    val sent = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, message.method, message.uri, content)
+    val leftMs = maxOf(1, times.deadlineMs - parts.nowMs())
+    sent.headers().set(message.headers.endToEnd())
+    val facts = SendingFacts(target.endpoint.id.value, workspace?.value, leftMs, lastEvent)
+    parts.dialect.writeRequest(sent.headers(), facts)
+    if (content.isReadable || message.headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
+        sent.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes())
+    }
+    return sent
+}
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointExchange.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointExchange.kt
@@ -1,6 +1,7 @@
 package corneltrack.router.relay
 
 import corneltrack.router.EndpointConnections
+import corneltrack.router.monotonicClock
 import corneltrack.world.Endpoint
 import io.netty.buffer.ByteBuf
 import io.netty.channel.Channel
@@ -131,17 +132,18 @@
             breakOff(cause.message ?: cause.javaClass.simpleName)
 
         private fun onHead(head: HttpResponse) {
-            if (head.decoderResult().isFailure) {
-                breakOff("unreadable answer")
-                return
-            }
+            if (head.decoderResult().isFailure) return breakOff("unreadable answer")
             if (head.status().code() == HttpResponseStatus.CONTINUE.code()) return
             val facts = dialect.readAnswer(head)
             stray = facts.requestId != null && requestId != null && facts.requestId != requestId
-            if (stray) {
-                if (++strays > MOST_STRAY_ANSWERS) breakOff("answers to other requests")
-                return
-            }
+            if (stray) onStray() else onOwnHead(head, facts)
+        }
+
+        private fun onStray() {
+            if (++strays > MOST_STRAY_ANSWERS) breakOff("answers to other requests")
+        }
+
+        private fun onOwnHead(head: HttpResponse, facts: AnswerFacts) {
             headSeen = true
             keepAlive = HttpUtil.isKeepAlive(head)
             if (head.headers().contains(HttpHeaderNames.CONTENT_ENCODING)) {
@@ -168,12 +170,10 @@
             val current = context.channel()
             listener.onEnd()
             if (keepAlive && current.isActive) {
-                connections.keep(current, endpoint, nowMs())
+                connections.keep(current, endpoint, monotonicClock())
             } else {
                 current.close()
             }
         }
     }
-
-    private fun nowMs(): Long = corneltrack.router.monotonicClock()
 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointState.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointState.kt
@@ -6,6 +6,7 @@
 import corneltrack.policy.placing.EngineLoad
 import corneltrack.policy.placing.PrefixMemory
 import corneltrack.policy.placing.ServiceLoad
+import corneltrack.policy.placing.WorkspaceShares
 import corneltrack.world.EndpointId
 
 private const val COLD_WINDOW_MS = 1_100L
@@ -21,6 +22,12 @@
     val coldStarts = RateAllowance(COLD_WINDOW_MS)
 }
 
+/** Holds what the routers have under way: at each endpoint and for each workspace. */
+internal data class FleetLoad(
+    val states: EndpointStates = EndpointStates(),
+    val shares: WorkspaceShares = WorkspaceShares(),
+)
+
 /** Keeps the state of each known endpoint. */
 internal class EndpointStates {
     private val states = HashMap<EndpointId, EndpointState>()
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EventTiming.kt
@@ -0,0 +1,28 @@
+package corneltrack.router.relay
+
+/** Learns an endpoint's speed from the times of one attempt. All times are in ms of the steady clock. */
+internal class EventTiming(private val call: RelayedCall, private val target: Target) {
+    private var sentMs = 0L
+    private var lastEventMs = 0L
+
+    /** Notes that the request leaves. */
+    fun onSent(nowMs: Long) {
+        sentMs = nowMs
+    }
+
+    /** Notes an event of the answer. */
+    fun onEvent(nowMs: Long) {
+        val engine = target.state.engine
+        if (lastEventMs == 0L) {
+            target.run?.let { engine.onFirstEvent(it, nowMs - sentMs - target.distanceMs) }
+            if (call.firstEventMs == null) call.firstEventMs = nowMs
+        } else {
+            engine.onEvent(nowMs - lastEventMs, call.pool.engine?.tokensPerEvent ?: 1, nowMs)
+            call.longestPauseMs = maxOf(call.longestPauseMs, nowMs - lastEventMs)
+        }
+        lastEventMs = nowMs
+    }
+
+    /** Returns how long the endpoint worked, without the network's share. */
+    fun workMs(nowMs: Long): Long = maxOf(0, nowMs - sentMs - target.distanceMs.toLong())
+}
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
@@ -4,7 +4,6 @@
 import corneltrack.policy.belief.BeliefClock
 import corneltrack.policy.placing.LoadSummary
 import corneltrack.policy.placing.WorkspaceRate
-import corneltrack.policy.placing.WorkspaceShares
 import corneltrack.wire.HostAndPort
 import corneltrack.wire.event
 import corneltrack.world.DataCentreId
@@ -44,12 +43,11 @@
     private val topic: KeyedTopic,
     private val loop: EventLoop,
     private val clock: BeliefClock,
-    private val states: EndpointStates,
-    private val shares: WorkspaceShares,
+    private val load: FleetLoad,
     private val onSuspicion: (Suspicion) -> Unit,
 ) {
     private val peers = HashMap<InstanceId, PeerRecord>()
-    private val follower = TopicFollower("peers", topic, PEER_PACE, loop, clock, ::onRecord) {}
+    private val follower = TopicFollower("peers", topic, PEER_PACE, loop, clock, ::onRecord)
     private var channel: Channel? = null
     private var idleSent = false
     private var digests = 0L
@@ -101,18 +99,20 @@
 
     private fun sendDigest() {
         val nowMs = clock().steadyMs
-        val endpoints = states.all().filterValues { it.engine.own.running > 0 }
+        val endpoints = load.states.all().filterValues { it.engine.own.running > 0 }
             .map { (id, state) -> id.value to state.engine.own.digest() }.toMap()
-        val workspaces = shares.own(nowMs)
+        val workspaces = load.shares.own(nowMs)
             .map { (id, rate) -> id.value to WorkspaceDigest(rate.asked.toLong(), rate.granted.toLong()) }.toMap()
         val idle = endpoints.isEmpty() && workspaces.isEmpty()
         if (idle && idleSent) return
         idleSent = idle
         val withFar = digests++ % FAR_EVERY == 0L
-        val receivers = peers.values.filter { withFar || settings.regions[DataCentreId(it.dataCentre)] == settings.region }
+        val receivers = peers.values.filter { withFar || it.isNear() }
         send(PeerDigest(settings.id.value, endpoints, workspaces), receivers)
     }
 
+    private fun PeerRecord.isNear() = settings.regions[DataCentreId(dataCentre)] == settings.region
+
     private fun send(digest: PeerDigest, to: Collection<PeerRecord>) {
         val current = channel ?: return
         if (to.isEmpty()) return
@@ -128,13 +128,13 @@
         val nowMs = clock().steadyMs
         digest.suspicions.forEach(onSuspicion)
         if (digest.suspicions.isNotEmpty()) return
-        states.all().forEach { (id, state) ->
+        load.states.all().forEach { (id, state) ->
             state.engine.onPeer(peer, digest.endpoints[id.value]?.summary() ?: NOTHING, nowMs)
         }
         val rates = digest.workspaces.map { (id, rate) ->
             WorkspaceId(id) to WorkspaceRate(rate.asked.toDouble(), rate.granted.toDouble())
         }
-        shares.onPeer(peer, rates.toMap(), nowMs)
+        load.shares.onPeer(peer, rates.toMap(), nowMs)
     }
 
     private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayJournal.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayJournal.kt
@@ -9,15 +9,6 @@
 
 private val logger = LogManager.getLogger("corneltrack.router.relay.RelayJournal")
 
-/**
- * Tells how a request went in time, in ms of the steady clock.
- *
- * @property firstEventMs when the first event came, or null.
- * @property longestPauseMs the longest time between two events.
- * @property endedMs when it ended.
- */
-internal data class CallTiming(val firstEventMs: Long?, val longestPauseMs: Long, val endedMs: Long)
-
 /**
  * Writes one line for each decision that touches a request.
  *
@@ -52,7 +43,7 @@
         field("end", end)
     }
 
-    fun ended(call: RelayedCall, result: String, status: Int?, timing: CallTiming) =
+    fun ended(call: RelayedCall, result: String, status: Int?, nowMs: Long) =
         logger.event("request_ended") {
             field("request", call.id)
             field("route", call.route.name)
@@ -60,9 +51,9 @@
             field("result", result)
             field("status", status)
             field("attempts", call.attempts)
-            field("first_event_ms", timing.firstEventMs?.let { it - call.times.arrivedMs })
-            field("longest_pause_ms", timing.longestPauseMs)
-            field("elapsed_ms", timing.endedMs - call.times.arrivedMs)
+            field("first_event_ms", call.firstEventMs?.let { it - call.times.arrivedMs })
+            field("longest_pause_ms", call.longestPauseMs)
+            field("elapsed_ms", nowMs - call.times.arrivedMs)
             field("left_ms", call.times.deadlineMs - call.times.arrivedMs)
             field("prompt_tokens", call.generation?.promptTokens)
             field("output_tokens", call.generation?.outputTokens)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayParts.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayParts.kt
@@ -1,12 +1,13 @@
 package corneltrack.router.relay
 
+import corneltrack.policy.limits.EndpointSign
 import corneltrack.policy.limits.RetryAllowance
 import corneltrack.router.EndpointConnections
 import corneltrack.world.PoolId
 import io.netty.channel.EventLoop
 
 /** Holds what all requests of one router share. Only used on the event loop. */
-internal class RelayParts(
+internal data class RelayParts(
     val loop: EventLoop,
     val dialect: RequestDialect,
     val connections: EndpointConnections,
@@ -15,7 +16,6 @@
     val suspects: CrashSuspects,
     private val bounds: RelayBounds,
     private val steadyMs: () -> Long,
-    val onEnded: (RelayedCall) -> Unit,
 ) {
     private val allowances = HashMap<PoolId, RetryAllowance>()
 
@@ -28,6 +28,11 @@
     /** Takes one repeat from the allowance of [pool]. */
     fun tryRepeat(pool: PoolId): Boolean = allowance(pool).tryRepeat(nowMs())
 
+    /** Takes in a sign of how well an endpoint is. */
+    fun onSign(target: Target, sign: EndpointSign) {
+        if (target.state.health.onSign(sign, nowMs())) journal.ejected(target.endpoint.id, sign)
+    }
+
     private fun allowance(pool: PoolId) =
         allowances.getOrPut(pool) { RetryAllowance(bounds.retryRatio, bounds.retryWindowMs) }
 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
@@ -2,7 +2,6 @@
 
 import corneltrack.policy.belief.BeliefClock
 import corneltrack.policy.belief.BeliefTime
-import corneltrack.policy.placing.WorkspaceShares
 import corneltrack.router.EndpointConnections
 import corneltrack.router.callers.CallerConnection
 import corneltrack.router.callers.CallerConnections
@@ -47,23 +46,22 @@
 ) : AutoCloseable {
     private val loop: EventLoop = group.next()
     private val clock: BeliefClock = { BeliefTime(monotonicClock(), epochClock()) }
-    private val states = EndpointStates()
-    private val shares = WorkspaceShares()
+    private val load = FleetLoad()
     private val beliefs = RoutingBeliefs(source, settings.bounds, loop, clock, ::onTable)
     private val suspects = CrashSuspects(epochClock) { peers.share(it) }
     private val peers: PeerExchange =
-        PeerExchange(settings, source.peers, loop, clock, states, shares, suspects::onPeer)
+        PeerExchange(settings, source.peers, loop, clock, load, suspects::onPeer)
     private val parts = RelayParts(
         loop,
         dialect,
         EndpointConnections(CONNECT_TIMEOUT_MS, IDLE_LIMIT_MS) { _, _, _ -> },
-        TargetChooser(settings, beliefs, states, shares),
+        TargetChooser(settings, beliefs, load),
         RelayJournal({ beliefs.table?.version }, { beliefs.endpointAgeMs() }),
         suspects,
         settings.bounds,
         monotonicClock,
-    ) { }
-    private val relay = Relay(beliefs, parts, shares)
+    )
+    private val relay = Relay(beliefs, parts, load.shares)
     private val connections = CallerConnections()
     private val callers = CallerServer(group) {
         CallerConnection(connectionLimits, connections) { request, _, sink -> relay.handle(request, sink) }
@@ -125,7 +123,7 @@
     private fun tick() {
         try {
             beliefs.expire()
-            states.retain(beliefs.directory.endpoints.keys)
+            load.states.retain(beliefs.directory.endpoints.keys)
         } catch (fault: IllegalStateException) {
             logger.event("tick_failed", Level.ERROR) { field("reason", fault) }
         }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayedCall.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayedCall.kt
@@ -23,7 +23,7 @@
 internal data class CallTimes(val arrivedMs: Long, val deadlineMs: Long, val finalMs: Long, val elapsedMs: Long)
 
 /** Holds one admitted request on its way. */
-internal class RelayedCall(
+internal data class RelayedCall(
     val id: String,
     val requestId: String?,
     val workspace: WorkspaceId?,
@@ -53,6 +53,12 @@
     /** The last event that the caller has, or null. */
     var lastEvent: String? = null
 
+    /** When the first event came, in ms of the steady clock, or null. */
+    var firstEventMs: Long? = null
+
+    /** The longest time between two events, in ms. */
+    var longestPauseMs: Long = 0
+
     /** Whether the request has its final answer or needs none. */
     var over: Boolean = false
 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RoutingBeliefs.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RoutingBeliefs.kt
@@ -59,9 +59,8 @@
     private val clock: BeliefClock,
     private val onTable: (RoutingTable) -> Unit,
 ) {
-    private val operator = TopicFollower("operator", source.operator, OPERATOR_PACE, loop, clock, ::onOperator) {}
-    private val listing =
-        TopicFollower("endpoints", source.endpoints, ENDPOINT_PACE, loop, clock, ::onEndpoint) { listed = true }
+    private val operator = TopicFollower("operator", source.operator, OPERATOR_PACE, loop, clock, ::onOperator)
+    private val listing = TopicFollower("endpoints", source.endpoints, ENDPOINT_PACE, loop, clock, ::onEndpoint)
 
     /** The known endpoints. */
     val directory = EndpointDirectory(bounds.relistingMs)
@@ -74,8 +73,7 @@
     val evacuated: MutableSet<DataCentreId> = HashSet()
 
     /** Whether the endpoints have been read once. */
-    var listed: Boolean = false
-        private set
+    val listed: Boolean get() = listing.asOf != null
 
     /** Starts to follow the store. */
     fun start() {
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/StoreWatch.kt
@@ -0,0 +1,46 @@
+package corneltrack.router.relay
+
+import corneltrack.policy.belief.BeliefClock
+import corneltrack.policy.belief.BeliefTime
+import corneltrack.wire.event
+import org.apache.logging.log4j.Level
+import org.apache.logging.log4j.LogManager
+
+private const val FIRST_RETRY_MS = 100L
+private const val LONGEST_RETRY_MS = 800L
+private const val MOST_DOUBLINGS = 4
+private val logger = LogManager.getLogger("corneltrack.router.relay.StoreWatch")
+
+/** Tells whether the store answers the calls for one topic, and when to call again where it does not. */
+internal class StoreWatch(private val topic: String, private val clock: BeliefClock) {
+    private var failures = 0
+    private var regainedAt: BeliefTime? = null
+
+    /** Returns whether the store has answered all calls of the last [spanMs]. */
+    fun steadyFor(spanMs: Long): Boolean =
+        failures == 0 && (regainedAt?.let { clock().since(it) >= spanMs } ?: true)
+
+    /** Notes an answer. */
+    fun onAnswer() {
+        if (failures > 0) {
+            regainedAt = clock()
+            logger.event("topic_regained") {
+                field("topic", topic)
+                field("failures", failures)
+            }
+        }
+        failures = 0
+    }
+
+    /** Notes a call without an answer and returns after how many ms to call again. */
+    fun onFailure(reason: String, ageMs: Long?): Long {
+        if (failures++ == 0) {
+            logger.event("topic_lost", Level.WARN) {
+                field("topic", topic)
+                field("reason", reason)
+                field("age_ms", ageMs)
+            }
+        }
+        return minOf(FIRST_RETRY_MS shl minOf(failures - 1, MOST_DOUBLINGS), LONGEST_RETRY_MS)
+    }
+}
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TargetChooser.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TargetChooser.kt
@@ -9,7 +9,6 @@
 import corneltrack.policy.placing.PromptLanes
 import corneltrack.policy.placing.ServiceCandidate
 import corneltrack.policy.placing.ServiceDecision
-import corneltrack.policy.placing.WorkspaceShares
 import corneltrack.policy.placing.admissionLimits
 import corneltrack.policy.placing.placeGeneration
 import corneltrack.policy.placing.placeServiceRequest
@@ -24,8 +23,9 @@
 private const val OTHER_REGION_HANDICAP_MS = 5.0
 private const val LANE_HANDICAP_MS = 150.0
 
-/** Prompts from the second bound on stretch the pauses of streams beside them on their own, from the first in a row. */
-private val PROMPT_SIZES = listOf(14_000, 24_000)
+/** Prompts of this length stretch the pauses of streams beside them where several come in a row, longer ones alone. */
+private const val MIDDLE_PROMPT_TOKENS = 14_000
+private const val LONG_PROMPT_TOKENS = 24_000
 private const val CACHE_SHARE = 0.5
 private const val READ_SHARE = 0.6
 private const val MS_PER_SECOND = 1_000.0
@@ -61,10 +61,11 @@
 internal class TargetChooser(
     private val settings: RelaySettings,
     private val beliefs: RoutingBeliefs,
-    private val states: EndpointStates,
-    private val shares: WorkspaceShares,
+    load: FleetLoad,
 ) {
-    private val lanes = PromptLanes(PROMPT_SIZES)
+    private val states = load.states
+    private val shares = load.shares
+    private val lanes = PromptLanes(listOf(MIDDLE_PROMPT_TOKENS, LONG_PROMPT_TOKENS))
 
     /** Chooses an endpoint for [call] and charges it with the load. */
     fun choose(call: RelayedCall, regions: Set<RegionId>, nowMs: Long): TargetDecision {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicFollower.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicFollower.kt
@@ -4,12 +4,9 @@
 import corneltrack.policy.belief.BeliefTime
 import corneltrack.wire.event
 import io.netty.channel.EventLoop
-import org.apache.logging.log4j.Level
 import org.apache.logging.log4j.LogManager
 import java.util.concurrent.TimeUnit
 
-private const val FIRST_RETRY_MS = 100L
-private const val LONGEST_RETRY_MS = 800L
 private val logger = LogManager.getLogger("corneltrack.router.relay.TopicFollower")
 
 /**
@@ -26,7 +23,6 @@
  * Every state it passes on has an as-of time: a moment at which the store showed that nothing newer existed.
  *
  * @param onRecord takes a record; a null value means that the key is gone.
- * @param onCurrent runs when all records known to the store have been passed on.
  */
 internal class TopicFollower(
     private val name: String,
@@ -35,12 +31,9 @@
     private val loop: EventLoop,
     private val clock: BeliefClock,
     private val onRecord: (KeyedRecord) -> Unit,
-    private val onCurrent: () -> Unit,
 ) {
     private val offsets = HashMap<String, Long>()
-    private var failures = 0
-    private var stopped = false
-    private var regainedAt: BeliefTime? = null
+    private val watch = StoreWatch(name, clock)
 
     /** The latest moment up to which this router knows all records; null before the first. */
     var asOf: BeliefTime? = null
@@ -49,14 +42,8 @@
     /** Starts to read. */
     fun start(): Unit = load(null, Loading(clock(), HashSet()))
 
-    /** Stops to read. */
-    fun stop() {
-        stopped = true
-    }
-
     /** Returns whether the store has answered all calls of the last [spanMs]. */
-    fun steadyFor(spanMs: Long): Boolean =
-        failures == 0 && (regainedAt?.let { clock().since(it) >= spanMs } ?: true)
+    fun steadyFor(spanMs: Long): Boolean = watch.steadyFor(spanMs)
 
     private class Loading(val startedAt: BeliefTime, val seen: MutableSet<String>) {
         var resumeAt: Long? = null
@@ -72,7 +59,7 @@
     }
 
     private fun onPage(page: TopicReply.Newest, loading: Loading) {
-        onSuccess()
+        watch.onAnswer()
         if (loading.resumeAt == null) loading.resumeAt = page.end
         page.records.forEach {
             loading.seen += it.key
@@ -86,19 +73,18 @@
         val resumeAt = loading.resumeAt ?: page.end
         offsets.filter { (key, offset) -> key !in loading.seen && offset < resumeAt }.keys.toList()
             .forEach { accept(KeyedRecord(it, null, resumeAt)) }
-        onRead(loading.startedAt)
+        asOf = loading.startedAt
         read(resumeAt)
     }
 
     private fun read(from: Long) {
-        if (stopped) return
         val sentAt = clock()
         topic.read(from, pace.waitMs) { reply ->
             when (reply) {
                 is TopicReply.Records -> onRecords(reply, sentAt)
                 TopicReply.Expired -> {
                     logger.event("topic_expired") { field("topic", name) }
-                    onSuccess()
+                    watch.onAnswer()
                     start()
                 }
                 else -> onFailure(reply) { read(from) }
@@ -107,11 +93,11 @@
     }
 
     private fun onRecords(page: TopicReply.Records, sentAt: BeliefTime) {
-        onSuccess()
+        watch.onAnswer()
         page.records.forEach(::accept)
         if (page.next >= page.end) {
             val waited = if (page.records.isEmpty()) minOf(pace.waitMs, clock().steadyMs - sentAt.steadyMs) else 0
-            onRead(sentAt.plus(waited))
+            asOf = sentAt.plus(waited)
             after(pace.pauseMs) { read(page.next) }
         } else {
             read(page.next)
@@ -125,38 +111,12 @@
         onRecord(record)
     }
 
-    private fun onRead(at: BeliefTime) {
-        asOf = at
-        onCurrent()
-    }
-
-    private fun onSuccess() {
-        if (failures > 0) {
-            regainedAt = clock()
-            logger.event("topic_regained") {
-                field("topic", name)
-                field("failures", failures)
-            }
-        }
-        failures = 0
-    }
-
     private fun onFailure(reply: TopicReply, retry: () -> Unit) {
-        if (failures++ == 0) {
-            logger.event("topic_lost", Level.WARN) {
-                field("topic", name)
-                field("reason", (reply as? TopicReply.Unavailable)?.reason ?: "unexpected answer")
-                field("age_ms", asOf?.let { clock().since(it) })
-            }
-        }
-        after(minOf(FIRST_RETRY_MS shl minOf(failures - 1, MOST_DOUBLINGS), LONGEST_RETRY_MS), retry)
+        val reason = (reply as? TopicReply.Unavailable)?.reason ?: "unexpected answer"
+        after(watch.onFailure(reason, asOf?.let { clock().since(it) }), retry)
     }
 
     private fun after(delayMs: Long, action: () -> Unit) {
-        if (!stopped) loop.schedule(action, delayMs, TimeUnit.MILLISECONDS)
-    }
-
-    private companion object {
-        const val MOST_DOUBLINGS = 4
+        loop.schedule(action, delayMs, TimeUnit.MILLISECONDS)
     }
 }
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/EventRelayTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/EventRelayTest.kt
@@ -86,6 +86,8 @@
             assertEquals((1..21).map { "$it" }, events.map { it.id }, "ids with pieces of $size bytes")
             assertEquals(text, events.joinToString("") { it.bytes.toString(Charsets.UTF_8) })
             assertFalse(splitter.midEvent)
+            events.forEach { it.bytes.release() }
+            splitter.close()
         }
     }
 
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayRouterTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayRouterTest.kt
@@ -65,7 +65,7 @@
         val bodies = listOf(
             "HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nfake",
             "HTTP/1.1 200 OK\r\nrequest: one\r\nsignature: s\r\ncontent-length: 100\r\n\r\nshort",
-            "HTTP/1.1 200 OK\r\nrequest: one\r\nsignature: s\r\ncontent-encoding: gzip\r\ncontent-length: 4\r\n\r\nzips",
+            "HTTP/1.1 200 OK\r\nrequest: one\r\nsignature: s\r\ncontent-encoding: br\r\ncontent-length: 2\r\n\r\nbr",
             "not http at all\r\n\r\n",
         )
         val next = bodies.iterator()
