--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/EngineLoad.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/EngineLoad.kt
@@ -11,7 +11,7 @@
 private const val GAP_SMOOTHING = 0.25
 private const val GAP_LIFE_MS = 800L
 private const val LEAST_SAMPLE_TOKENS = 1_000
-private const val PEER_SILENCE_MS = 1_500L
+private const val PEER_SILENCE_MS = 4_000L
 
 /** The time from the arrival at an idle engine to the first event, without the reading of the prompt, in ms. */
 internal const val FIRST_EVENT_MS: Double = 25.0
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallEnding.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallEnding.kt
@@ -46,5 +46,6 @@
         call.over = true
         onOver()
         parts.journal.ended(call, result, status, parts.nowMs())
+        parts.metrics.onEnded(call, result, parts.nowMs())
     }
 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallRun.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallRun.kt
@@ -53,6 +53,7 @@
     override fun onFailed(attempt: EndpointAttempt, end: RelayEnd) {
         leaveAttempt()
         parts.journal.attemptEnded(call, attempt.target, end)
+        parts.metrics.onAttemptFailed(end)
         call.tried += attempt.target.endpoint.id
         if (end is RelayEnd.Broken) parts.suspects.onBreak(call, attempt.target.endpoint.id)
         if (end is RelayEnd.Broken || end is RelayEnd.Failed) call.mayHaveRun = true
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
@@ -6,7 +6,6 @@
 import corneltrack.policy.placing.WorkspaceRate
 import corneltrack.wire.HostAndPort
 import corneltrack.wire.event
-import corneltrack.world.DataCentreId
 import corneltrack.world.InstanceId
 import corneltrack.world.WorkspaceId
 import io.netty.bootstrap.Bootstrap
@@ -26,12 +25,10 @@
 
 private const val DIGEST_PERIOD_MS = 100L
 
-/** Traffic between regions is billed: peers there get every third digest. */
-private const val FAR_EVERY = 3L
 private const val SUSPICION_COPIES = 3
 private val PEER_PACE = ReadingPace(waitMs = 10_000, pauseMs = 500)
 private val logger = LogManager.getLogger("corneltrack.router.relay.PeerExchange")
-private val peerJson = Json { ignoreUnknownKeys = true }
+internal val peerJson: Json = Json { ignoreUnknownKeys = true }
 
 /**
  * Finds the other routers in the store and exchanges loads with them, less often across regions.
@@ -46,8 +43,8 @@
     private val load: FleetLoad,
     private val onSuspicion: (Suspicion) -> Unit,
 ) {
-    private val peers = HashMap<InstanceId, PeerRecord>()
-    private val follower = TopicFollower("peers", topic, PEER_PACE, loop, clock, ::onRecord)
+    private val peers = PeerTable(settings)
+    private val follower = TopicFollower("peers", topic, PEER_PACE, loop, clock, peers::onRecord)
     private var channel: Channel? = null
     private var idleSent = false
     private var digests = 0L
@@ -69,7 +66,7 @@
     /** Tells all peers of [suspicion]. */
     fun share(suspicion: Suspicion) {
         val digest = PeerDigest(settings.id.value, suspicions = listOf(suspicion))
-        repeat(SUSPICION_COPIES) { send(digest, peers.values) }
+        repeat(SUSPICION_COPIES) { send(digest, peers.all) }
     }
 
     private fun announce() {
@@ -79,24 +76,6 @@
         }
     }
 
-    private fun onRecord(record: KeyedRecord) {
-        val id = InstanceId(record.key)
-        if (id == settings.id) return
-        val peer = record.value?.let(::decodeRecord)
-        if (peer == null) peers.remove(id) else peers[id] = peer
-        logger.event(if (peer == null) "peer_left" else "peer_found") {
-            field("peer", id)
-            field("peers", peers.size)
-        }
-    }
-
-    private fun decodeRecord(value: ByteArray): PeerRecord? = try {
-        peerJson.decodeFromString<PeerRecord>(String(value, Charsets.UTF_8))
-    } catch (fault: SerializationException) {
-        logger.event("peer_record_unreadable", Level.WARN) { field("reason", fault.message) }
-        null
-    }
-
     private fun sendDigest() {
         val nowMs = clock().steadyMs
         val endpoints = load.states.all().filterValues { it.engine.own.running > 0 }
@@ -106,13 +85,9 @@
         val idle = endpoints.isEmpty() && workspaces.isEmpty()
         if (idle && idleSent) return
         idleSent = idle
-        val withFar = digests++ % FAR_EVERY == 0L
-        val receivers = peers.values.filter { withFar || it.isNear() }
-        send(PeerDigest(settings.id.value, endpoints, workspaces), receivers)
+        send(PeerDigest(settings.id.value, endpoints, workspaces), peers.receivers(digests++))
     }
 
-    private fun PeerRecord.isNear() = settings.regions[DataCentreId(dataCentre)] == settings.region
-
     private fun send(digest: PeerDigest, to: Collection<PeerRecord>) {
         val current = channel ?: return
         if (to.isEmpty()) return
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayMetrics.kt
@@ -0,0 +1,53 @@
+package corneltrack.router.relay
+
+import corneltrack.policy.limits.RelayEnd
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.Gauge
+import io.prometheus.metrics.core.metrics.Histogram
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import io.prometheus.metrics.model.snapshots.Unit.SECONDS
+import java.io.ByteArrayOutputStream
+
+private const val MS_PER_SECOND = 1_000.0
+private const val DETAIL_MARK = ','
+
+/** Holds the metrics of one relaying router and writes them in the Prometheus text format. */
+internal class RelayMetrics {
+    private val registry = PrometheusRegistry()
+    private val requests = Counter.builder().name("corneltrack_relay_requests")
+        .help("Requests that ended, by route and result.").labelNames("route", "result").register(registry)
+    private val attempts = Counter.builder().name("corneltrack_relay_failed_attempts")
+        .help("Attempts that failed, by how.").labelNames("end").register(registry)
+    private val firstEvent = Histogram.builder().name("corneltrack_relay_first_event_seconds").unit(SECONDS)
+        .help("Time from arrival to the first event.").labelNames("route").register(registry)
+    private val pause = Histogram.builder().name("corneltrack_relay_longest_pause_seconds").unit(SECONDS)
+        .help("Longest time between two events of an answer.").labelNames("route").register(registry)
+    private val duration = Histogram.builder().name("corneltrack_relay_request_duration_seconds").unit(SECONDS)
+        .help("Time from arrival to the end of the answer.").labelNames("route").register(registry)
+    private val ages = Gauge.builder().name("corneltrack_relay_belief_age_seconds")
+        .help("Age of what is known from the store.").labelNames("belief").register(registry)
+
+    /** Counts the end of [call]; a result's detail after a comma is left out. */
+    fun onEnded(call: RelayedCall, result: String, nowMs: Long) {
+        val route = call.route.name
+        requests.labelValues(route, result.substringBefore(DETAIL_MARK)).inc()
+        duration.labelValues(route).observe((nowMs - call.times.arrivedMs) / MS_PER_SECOND)
+        call.firstEventMs?.let {
+            firstEvent.labelValues(route).observe((it - call.times.arrivedMs) / MS_PER_SECOND)
+            pause.labelValues(route).observe(call.longestPauseMs / MS_PER_SECOND)
+        }
+    }
+
+    /** Counts an attempt that failed. */
+    fun onAttemptFailed(end: RelayEnd) = attempts.labelValues(end.javaClass.simpleName).inc()
+
+    /** Returns all metrics as text, with the given ages in ms where they are known. */
+    fun text(operatorAgeMs: Long?, endpointAgeMs: Long?): String {
+        operatorAgeMs?.let { ages.labelValues("operator").set(it / MS_PER_SECOND) }
+        endpointAgeMs?.let { ages.labelValues("endpoints").set(it / MS_PER_SECOND) }
+        val bytes = ByteArrayOutputStream()
+        PrometheusTextFormatWriter(false).write(bytes, registry.scrape())
+        return bytes.toString(Charsets.UTF_8)
+    }
+}
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayParts.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayParts.kt
@@ -13,6 +13,7 @@
     val connections: EndpointConnections,
     val chooser: TargetChooser,
     val journal: RelayJournal,
+    val metrics: RelayMetrics,
     val suspects: CrashSuspects,
     private val bounds: RelayBounds,
     private val steadyMs: () -> Long,
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
@@ -24,6 +24,8 @@
 
 private const val CONNECT_TIMEOUT_MS = 400
 private const val IDLE_LIMIT_MS = 2_000L
+private const val METRICS_PATH = "/metrics"
+private const val METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 private const val TICK_MS = 250L
 private const val OUT_OF_ROTATION_MS = 2_600L
 private const val DRAIN_POLL_MS = 50L
@@ -51,12 +53,14 @@
     private val suspects = CrashSuspects(epochClock) { peers.share(it) }
     private val peers: PeerExchange =
         PeerExchange(settings, source.peers, loop, clock, load, suspects::onPeer)
+    private val metrics = RelayMetrics()
     private val parts = RelayParts(
         loop,
         dialect,
         EndpointConnections(CONNECT_TIMEOUT_MS, IDLE_LIMIT_MS) { _, _, _ -> },
         TargetChooser(settings, beliefs, load),
         RelayJournal({ beliefs.table?.version }, { beliefs.endpointAgeMs() }),
+        metrics,
         suspects,
         settings.bounds,
         monotonicClock,
@@ -136,11 +140,15 @@
     }
 
     private fun answerControl(request: ControlRequest): CompletableFuture<ControlResponse> {
-        val status = when {
-            request.path != settings.readinessPath -> HttpResponseStatus.NOT_FOUND
-            ready -> HttpResponseStatus.OK
-            else -> HttpResponseStatus.SERVICE_UNAVAILABLE
+        val response = when (request.path) {
+            settings.readinessPath ->
+                ControlResponse(if (ready) HttpResponseStatus.OK else HttpResponseStatus.SERVICE_UNAVAILABLE)
+            METRICS_PATH -> {
+                val text = metrics.text(beliefs.operatorAgeMs(), beliefs.endpointAgeMs())
+                ControlResponse(HttpResponseStatus.OK, text, METRICS_TYPE)
+            }
+            else -> ControlResponse(HttpResponseStatus.NOT_FOUND)
         }
-        return CompletableFuture.completedFuture(ControlResponse(status))
+        return CompletableFuture.completedFuture(response)
     }
 }
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayFixture.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayFixture.kt
@@ -108,6 +108,10 @@
         return answer.substringAfter(' ').take(3).toInt()
     }
 
+    /** Returns the router's metrics. */
+    fun metrics(): String =
+        exchange(settings.readiness, "GET /metrics HTTP/1.1\r\nhost: x\r\nconnection: close\r\n\r\n")
+
     /** Sends a whole request and returns all that comes until the connection closes or the answer ends. */
     fun call(path: String, id: String = "one", headers: String = "", body: String = ""): String =
         exchange(settings.callers, request(path, id, headers, body))
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayRouterTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayRouterTest.kt
@@ -205,6 +205,18 @@
         }
     }
 
+    @Test
+    fun `metrics count requests and show how old beliefs are`() {
+        fixture.endpoint("a", "services") { request, socket -> socket.send(signed(request, "done")) }
+        fixture.start()
+        fixture.call("/once/x")
+
+        val metrics = fixture.metrics()
+
+        assertContains(metrics, "corneltrack_relay_requests_total{result=\"delivered\",route=\"/once/\"} 1.0")
+        assertContains(metrics, "corneltrack_relay_belief_age_seconds{belief=\"operator\"}")
+    }
+
     @Test
     fun `a shutdown answers what is under way and refuses what comes too late`() {
         val release = CountDownLatch(1)
