--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/EnginePlacement.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/EnginePlacement.kt
@@ -5,10 +5,13 @@
 private const val HOME_KEPT = 1.0
 private const val SECOND_KEPT = 0.5
 private const val MISS_WEIGHT = 20.0
+
+/** What an engine would read again counts against the limit too: under overload it is work taken from others. */
+private const val MISS_LIMIT_WEIGHT = 3.0
 private const val PLACES_USED = 0.95
 private const val MEMORY_USED = 0.9
 private const val FINISH_MARGIN = 0.75
-private const val PAUSE_USED = 0.76
+private const val PAUSE_USED = 0.6
 private const val PAUSING_TOKENS = 300
 private const val SHORTEST_RETRY_MS = 200L
 
@@ -127,7 +130,9 @@
     private val queueMs = FIRST_EVENT_MS + total.unreadTokens * load.msPerToken + candidate.distanceMs
     private val finishMs = waitMs + generation.outputTokens * load.msPerOutputToken
     private val memory = total.memoryTokens + unread + generation.outputTokens
-    private val startsInTime = waitMs <= request.waitLimitMs || queueMs <= request.queueLimitMs
+    private val wasteMs = MISS_LIMIT_WEIGHT * (generation.sharedTokens - kept) * load.msPerToken
+    private val startsInTime =
+        waitMs + wasteMs <= request.waitLimitMs || queueMs + wasteMs <= request.queueLimitMs
 
     private val pauses =
         unread >= PAUSING_TOKENS && load.recentGapMs(nowMs) > request.pauseLimitMs * PAUSE_USED
