--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/EnginePlacement.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/EnginePlacement.kt
@@ -7,7 +7,7 @@
 private const val MISS_WEIGHT = 20.0
 
 /** What an engine would read again counts against the limit too: under overload it is work taken from others. */
-private const val MISS_LIMIT_WEIGHT = 3.0
+private const val MISS_LIMIT_WEIGHT = 7.0
 private const val PLACES_USED = 0.95
 private const val MEMORY_USED = 0.9
 private const val FINISH_MARGIN = 0.75
