--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/EnginePlacement.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/EnginePlacement.kt
@@ -6,8 +6,11 @@
 private const val SECOND_KEPT = 0.5
 private const val MISS_WEIGHT = 20.0
 
-/** What an engine would read again counts against the limit too: under overload it is work taken from others. */
-private const val MISS_LIMIT_WEIGHT = 7.0
+/** What a busy engine would read again counts against the limit too: under overload it is work taken from others. */
+private const val MISS_LIMIT_WEIGHT = 20.0
+
+/** The unread tokens at which an engine is as busy as it gets. */
+private const val BUSY_UNREAD_TOKENS = 8_000.0
 private const val PLACES_USED = 0.95
 private const val MEMORY_USED = 0.9
 private const val FINISH_MARGIN = 0.75
@@ -125,12 +128,13 @@
     private val total = load.total(nowMs)
     val unread = (generation.promptTokens - kept).toInt().coerceAtLeast(0)
     val waitMs = FIRST_EVENT_MS + (total.unreadTokens + unread) * load.msPerToken + candidate.distanceMs
-    private val missMs = MISS_WEIGHT * (generation.sharedTokens - kept) * load.msPerToken
-    val score = waitMs - candidate.distanceMs + candidate.handicapMs + missMs
+    private val againMs = maxOf(0.0, generation.sharedTokens - kept) * load.msPerToken
+    val score = waitMs - candidate.distanceMs + candidate.handicapMs + MISS_WEIGHT * againMs
     private val queueMs = FIRST_EVENT_MS + total.unreadTokens * load.msPerToken + candidate.distanceMs
     private val finishMs = waitMs + generation.outputTokens * load.msPerOutputToken
     private val memory = total.memoryTokens + unread + generation.outputTokens
-    private val wasteMs = MISS_LIMIT_WEIGHT * (generation.sharedTokens - kept) * load.msPerToken
+    private val busy = maxOf(total.running.toDouble() / candidate.places, total.unreadTokens / BUSY_UNREAD_TOKENS)
+    private val wasteMs = MISS_LIMIT_WEIGHT * minOf(1.0, busy) * againMs
     private val startsInTime =
         waitMs + wasteMs <= request.waitLimitMs || queueMs + wasteMs <= request.queueLimitMs
 
--- a/corneltrack-policy/src/test/kotlin/corneltrack/policy/placing/EnginePlacementTest.kt
+++ b/corneltrack-policy/src/test/kotlin/corneltrack/policy/placing/EnginePlacementTest.kt
@@ -29,6 +29,19 @@
         assertTrue(chosen(limits).candidate.id != home.id, "a request past the home's limit goes elsewhere")
     }
 
+    @Test
+    fun `a busy engine that would read the beginning again refuses and an idle one does not`() {
+        val home = chosen(limits).candidate
+        repeat(8) { home.load.onSent(generation(9, 0, 6_000), 6_000, 0) }
+        val others = engines.filter { it.id != home.id }
+        assertIs<PlacementDecision.Chosen>(place(limits))
+
+        others.forEach { it.load.onSent(generation(9, 0, 6_000), 6_000, 0) }
+
+        assertIs<PlacementDecision.Refused>(place(limits))
+        assertIs<PlacementDecision.Chosen>(place(limits.copy(generation = generation(3, 0, 6_000))))
+    }
+
     @Test
     fun `a request that no engine can start in time is refused at once with the time until one can`() {
         engines.forEach { engine -> repeat(10) { engine.load.onSent(generation(9, 0, 6_000), 6_000, 0) } }
