Leave no prompt without an engine where none is set apart for its size

Cause, found by reading: where long prompts are so rare that no engine is set apart for them, or a pool has a single engine, no engine was open to them and each was refused. The longest class that there is takes them now. Two tests failed first. Constants of placing say in a few words what they are for.

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/AdmissionLimits.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/AdmissionLimits.kt
@@ -1,10 +1,17 @@
 package corneltrack.policy.placing
 
+/** The part of the objective that a workspace below its share may be expected to wait, and one at its share. */
 private const val FULL_SHARE = 0.85
 private const val LEAST_SHARE = 0.5
+
+/** The standings between which the limit falls from one to the other. */
 private const val STANDING_BEFORE = 0.7
 private const val STANDING_PAST = 1.0
+
+/** What a request past its objective may still be expected to wait, as a part of the objective. */
 private const val LATE_SHARE = 0.2
+
+/** The part of the limit that the wait before a prompt too long for the objective may take. */
 private const val QUEUE_SHARE = 0.35
 
 /**
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/EnginePlacement.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/EnginePlacement.kt
@@ -2,8 +2,11 @@
 
 import corneltrack.world.EndpointId
 
+/** The part of a shared beginning that its home is taken to keep, since other routers send there too. */
 private const val HOME_KEPT = 1.0
 private const val SECOND_KEPT = 0.5
+
+/** How much a choice avoids reading again, in multiples of the reading's own time. */
 private const val MISS_WEIGHT = 20.0
 
 /** What a busy engine would read again counts against the limit too: under overload it is work taken from others. */
@@ -11,10 +14,18 @@
 
 /** The unread tokens at which an engine is as busy as it gets. */
 private const val BUSY_UNREAD_TOKENS = 8_000.0
+
+/** Leaves room for what peers have sent since their last digest. */
 private const val PLACES_USED = 0.95
 private const val MEMORY_USED = 0.9
+
+/** The part of the time left that the expected end may take, since engines slow down while a stream runs. */
 private const val FINISH_MARGIN = 0.75
+
+/** The part of the pause limit that an engine's present pauses may take. */
 private const val PAUSE_USED = 0.6
+
+/** Prompts shorter than this stretch no pause. */
 private const val PAUSING_TOKENS = 300
 private const val SHORTEST_RETRY_MS = 200L
 
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/PromptLanes.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/PromptLanes.kt
@@ -33,8 +33,18 @@
         atMs = nowMs
     }
 
+    /**
+     * Returns those of [engines] that [generation] may go to, each with the number of size classes that it is set apart
+     * above the prompt's own. Where no engine is set apart for prompts so long, the longest class there is takes them.
+     */
+    public fun open(generation: Generation, engines: Collection<EndpointId>): Map<EndpointId, Int> {
+        val assigned = assign(engines)
+        val size = minOf(classOf(generation), assigned.values.maxOrNull() ?: 0)
+        return assigned.filterValues { it >= size }.mapValues { it.value - size }
+    }
+
     /** Returns the size class that each of [engines] is set apart for. */
-    public fun assign(engines: Collection<EndpointId>): Map<EndpointId, Int> {
+    internal fun assign(engines: Collection<EndpointId>): Map<EndpointId, Int> {
         val ranked = engines.sortedBy { mixed(LANE_KEY, it.value.hashCode().toLong()) }
         val total = tokens.sum()
         val lanes = HashMap<EndpointId, Int>()
--- a/corneltrack-policy/src/test/kotlin/corneltrack/policy/placing/PromptLanesTest.kt
+++ b/corneltrack-policy/src/test/kotlin/corneltrack/policy/placing/PromptLanesTest.kt
@@ -41,6 +41,28 @@
         assertEquals(lanes.assign(engines), other.assign(engines.reversed()))
     }
 
+    @Test
+    fun `a long prompt among many short ones is not left without an engine`() {
+        repeat(1_000) { lanes.onAsked(generation(1, 0, 5_000), 0) }
+        lanes.onAsked(generation(1, 0, 30_000), 0)
+
+        (0..13).forEach { count ->
+            val some = engines.take(count)
+            assertEquals(count > 0, lanes.open(generation(1, 0, 30_000), some).isNotEmpty(), "with $count engines")
+        }
+    }
+
+    @Test
+    fun `short prompts may go to engines of longer ones and not the reverse`() {
+        repeat(60) { lanes.onAsked(generation(1, 0, 1_000), 0) }
+        lanes.onAsked(generation(1, 0, 40_000), 0)
+
+        val long = lanes.open(generation(1, 0, 40_000), engines)
+
+        assertEquals(engines.toSet(), lanes.open(generation(1, 0, 1_000), engines).keys)
+        assertTrue(long.size in 1..7 && long.values.all { it == 0 }, "found $long")
+    }
+
     @Test
     fun `a single engine serves every size and none is no fault`() {
         lanes.onAsked(generation(1, 0, 30_000), 0)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TargetChooser.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TargetChooser.kt
@@ -19,14 +19,24 @@
 
 private const val SAME_DATA_CENTRE_MS = 1.0
 private const val SAME_REGION_MS = 5.0
+
+/** Two round trips over 30 ms each way: one to connect, one for the answer. */
 private const val OTHER_REGION_MS = 125.0
+
+/** The price of the bytes of one answer between regions, as time of an engine. */
 private const val OTHER_REGION_HANDICAP_MS = 5.0
+
+/** Keeps shorter prompts off the engines of longer ones while their own have short queues. */
 private const val LANE_HANDICAP_MS = 150.0
 
 /** Prompts of this length stretch the pauses of streams beside them where several come in a row, longer ones alone. */
 private const val MIDDLE_PROMPT_TOKENS = 14_000
 private const val LONG_PROMPT_TOKENS = 24_000
+
+/** The part of an engine's memory that running requests leave to cached parts. */
 private const val CACHE_SHARE = 0.5
+
+/** The part of an engine's tokens that are read, not generated or found cached. */
 private const val READ_SHARE = 0.6
 private const val MS_PER_SECOND = 1_000.0
 private const val SHORTEST_RETENTION_MS = 3_000L
@@ -125,10 +135,10 @@
         }
         val retentionMs = retentionMs(engine, beliefs.directory.of(call.pool.id).size)
         val endpoints = eligible.associateBy { it.entry.endpoint.id }
-        val assigned = lanes.assign(endpoints.keys)
-        val size = lanes.classOf(generation)
-        val candidates = eligible.filter { assigned.getValue(it.entry.endpoint.id) >= size }
-            .map { it.engineCandidate(engine, LANE_HANDICAP_MS * (assigned.getValue(it.entry.endpoint.id) - size)) }
+        val open = lanes.open(generation, endpoints.keys)
+        val candidates = eligible.mapNotNull { known ->
+            open[known.entry.endpoint.id]?.let { known.engineCandidate(engine, LANE_HANDICAP_MS * it) }
+        }
         return when (val decision = placeGeneration(request, candidates, retentionMs, nowMs)) {
             is PlacementDecision.Refused -> {
                 val reason = "${decision.obstacle.name.lowercase()}, wait ${decision.expectedWaitMs.toLong()} ms"
