Read the list again soon where its connection fell silent

A read of the endpoints waits up to 1.2 s on a silent connection, and the read after it may take another kept connection that the same fault silenced: 1.0 s pause + 1.2 + 0.1 + 1.2 s.

Change: a call whose answer is late closes the kept connections to that address too, and the first call waits 0.5 s for its answer, later ones longer up to 2 s. At most 1.0 + 0.5 + 0.1 + 0.5 s then pass until a leaving is known.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/KeyedTopic.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/KeyedTopic.kt
@@ -39,12 +39,13 @@
  *
  * Each function calls back once, on the caller's event loop, also where the store is silent.
  *
- * @property newest reads the newest records of keys after a key; null for the first.
- * @property read reads records from an offset on, and waits up to some ms for the first.
+ * @property newest reads the newest records of keys after a key; null for the first. Gives up after `timeoutMs`.
+ * @property read reads records from an offset on, and waits up to some ms for the first. Gives up `timeoutMs` after
+ *   that wait.
  * @property write sets or, with a null value, removes a key.
  */
 public class KeyedTopic(
-    public val newest: (after: String?, onReply: (TopicReply) -> Unit) -> Unit,
-    public val read: (from: Long, waitMs: Long, onReply: (TopicReply) -> Unit) -> Unit,
+    public val newest: (after: String?, timeoutMs: Long, onReply: (TopicReply) -> Unit) -> Unit,
+    public val read: (from: Long, waitMs: Long, timeoutMs: Long, onReply: (TopicReply) -> Unit) -> Unit,
     public val write: (key: String, value: ByteArray?, onDone: (Boolean) -> Unit) -> Unit,
 )
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/StoreWatch.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/StoreWatch.kt
@@ -9,13 +9,21 @@
 private const val FIRST_RETRY_MS = 100L
 private const val LONGEST_RETRY_MS = 800L
 private const val MOST_DOUBLINGS = 4
+
+/** Long enough for a slow answer, short enough that two silent connections in a row fit a drain bound of 3 s. */
+private const val FIRST_TIMEOUT_MS = 500L
+private const val LONGEST_TIMEOUT_MS = 2_000L
 private val logger = LogManager.getLogger("corneltrack.router.relay.StoreWatch")
 
-/** Tells whether the store answers the calls for one topic, and when to call again where it does not. */
+/** Tells whether the store answers the calls for one topic, and how long to wait for it where it does not. */
 internal class StoreWatch(private val topic: String, private val clock: BeliefClock) {
     private var failures = 0
     private var regainedAt: BeliefTime? = null
 
+    /** The time for the next call's answer, in ms; longer after each call that got none. */
+    val timeoutMs: Long
+        get() = minOf(FIRST_TIMEOUT_MS shl minOf(failures, MOST_DOUBLINGS), LONGEST_TIMEOUT_MS)
+
     /** Returns whether the store has answered all calls of the last [spanMs]. */
     fun steadyFor(spanMs: Long): Boolean =
         failures == 0 && (regainedAt?.let { clock().since(it) >= spanMs } ?: true)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicFollower.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicFollower.kt
@@ -50,7 +50,7 @@
     }
 
     private fun load(after: String?, loading: Loading) {
-        topic.newest(after) { reply ->
+        topic.newest(after, watch.timeoutMs) { reply ->
             when (reply) {
                 is TopicReply.Newest -> onPage(reply, loading)
                 else -> onFailure(reply) { start() }
@@ -79,7 +79,7 @@
 
     private fun read(from: Long) {
         val sentAt = clock()
-        topic.read(from, pace.waitMs) { reply ->
+        topic.read(from, pace.waitMs, watch.timeoutMs) { reply ->
             when (reply) {
                 is TopicReply.Records -> onRecords(reply, sentAt)
                 TopicReply.Expired -> {
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/MemoryTopic.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/MemoryTopic.kt
@@ -16,7 +16,11 @@
     @Volatile
     var oldest: Long = 0
 
-    val topic: KeyedTopic = KeyedTopic(::newest, ::read, ::write)
+    val topic: KeyedTopic = KeyedTopic(
+        newest = { after, _, onReply -> newest(after, onReply) },
+        read = { from, waitMs, _, onReply -> read(from, waitMs, onReply) },
+        write = ::write,
+    )
 
     fun put(key: String, value: String?) {
         records += KeyedRecord(key, value?.toByteArray(), records.size.toLong())
--- a/corneltrack-wire/src/main/kotlin/corneltrack/wire/ControlClient.kt
+++ b/corneltrack-wire/src/main/kotlin/corneltrack/wire/ControlClient.kt
@@ -43,7 +43,8 @@
  * Sends control requests over kept connections, one request at a time on each.
  *
  * All requests to one address carry the same secret, or none; it is sent once for each connection.
- * A connection whose answer is late is closed and never used again, so that no answer reaches another request.
+ * A connection whose answer is late is closed and never used again, so that no answer reaches another request. The kept
+ * connections to that address are closed with it: whatever silenced one has mostly silenced them all.
  */
 public class ControlClient(
     private val group: EventLoopGroup,
@@ -120,7 +121,9 @@
         result: CompletableFuture<ControlResult>,
     ) {
         val timer = eventLoop().schedule({
-            if (result.complete(ControlResult.Lost("no answer within $timeoutMs ms"))) close()
+            discardIdle(address)
+            close()
+            result.complete(ControlResult.Lost("no answer within $timeoutMs ms"))
         }, timeoutMs, TimeUnit.MILLISECONDS)
         pipeline().addLast(
             AnswerHandler(result) { keepAlive ->
@@ -137,6 +140,11 @@
         }
     }
 
+    private fun discardIdle(address: String) {
+        val queue = idle[address] ?: return
+        generateSequence { queue.pollFirst() }.forEach { it.close() }
+    }
+
     private fun keep(address: String, channel: Channel) {
         val queue = idle.computeIfAbsent(address) { ConcurrentLinkedDeque() }
         if (queue.size < KEPT_CONNECTIONS) queue.addFirst(channel) else channel.close()
