Count the grace of expired endpoints from the store's return

An order-desk server left at 27.47 s without announcing it; the router read the removal at 27.88 s, took it for an entry that expired while the store was away, and kept it for 2.5 s more, to 30.40 s (DRAIN, 3,062 ms against 3,000).

Change: what expired is kept until 2.5 s after the store answered again, not 2.5 s after each removal.

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/belief/EndpointDirectory.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/belief/EndpointDirectory.kt
@@ -21,9 +21,10 @@
  * Keeps the endpoints that the platform lists.
  *
  * Entries may come late: one that an endpoint wrote before the newest known one changes nothing. While the store is
- * unsteady, entries expire though their endpoints live; these are kept for a grace time. Not thread-safe.
+ * away, entries expire though their endpoints live; these are kept until a grace time after its return, in which living
+ * endpoints are listed again. Not thread-safe.
  *
- * @param graceMs how long an entry that expired while the store was unsteady is kept, in ms.
+ * @param graceMs how long after the store's return endpoints are listed again, in ms.
  */
 public class EndpointDirectory(private val graceMs: Long) {
     private data class Gone(val last: EndpointEntry, val atMs: Long)
@@ -51,14 +52,20 @@
         return change(before, entry, nowMs)
     }
 
-    /** Takes in that the entry of [id] was removed or names no endpoint any more. */
-    public fun onRemoved(id: EndpointId, storeSteady: Boolean, nowMs: Long): DirectoryChange {
+    /**
+     * Takes in that the entry of [id] was removed or names no endpoint any more.
+     *
+     * @param storeBackMs when the store last answered again after it had not, in ms of the steady clock, or null where it
+     *   always did.
+     */
+    public fun onRemoved(id: EndpointId, storeBackMs: Long?, nowMs: Long): DirectoryChange {
         val before = known[id]
-        val expired = before != null && before.entry.live && !storeSteady
+        val listedAgainMs = storeBackMs?.plus(graceMs) ?: Long.MIN_VALUE
+        val expired = before != null && before.entry.live && nowMs < listedAgainMs
         return when {
             before == null -> DirectoryChange.NONE
             expired -> DirectoryChange.LAPSING.also {
-                if (before.lapsesMs == null) known[id] = before.copy(lapsesMs = nowMs + graceMs)
+                if (before.lapsesMs == null) known[id] = before.copy(lapsesMs = listedAgainMs)
             }
             else -> DirectoryChange.REMOVED.also { remove(id, nowMs) }
         }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RoutingBeliefs.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RoutingBeliefs.kt
@@ -134,7 +134,7 @@
         } else {
             val id = EndpointId(record.key)
             if (record.value != null) logger.event("endpoint_record_unreadable") { field("endpoint", id) }
-            logChange(id, directory.onRemoved(id, listing.steadyFor(bounds.relistingMs), nowMs))
+            logChange(id, directory.onRemoved(id, listing.storeBackMs, nowMs))
         }
     }
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/StoreWatch.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/StoreWatch.kt
@@ -1,7 +1,6 @@
 package corneltrack.router.relay
 
 import corneltrack.policy.belief.BeliefClock
-import corneltrack.policy.belief.BeliefTime
 import corneltrack.wire.event
 import org.apache.logging.log4j.Level
 import org.apache.logging.log4j.LogManager
@@ -18,20 +17,19 @@
 /** Tells whether the store answers the calls for one topic, and how long to wait for it where it does not. */
 internal class StoreWatch(private val topic: String, private val clock: BeliefClock) {
     private var failures = 0
-    private var regainedAt: BeliefTime? = null
+
+    /** When the store last answered again after it had not, in ms of the steady clock, or null where it always did. */
+    var regainedMs: Long? = null
+        private set
 
     /** The time for the next call's answer, in ms; longer after each call that got none. */
     val timeoutMs: Long
         get() = minOf(FIRST_TIMEOUT_MS shl minOf(failures, MOST_DOUBLINGS), LONGEST_TIMEOUT_MS)
 
-    /** Returns whether the store has answered all calls of the last [spanMs]. */
-    fun steadyFor(spanMs: Long): Boolean =
-        failures == 0 && (regainedAt?.let { clock().since(it) >= spanMs } ?: true)
-
     /** Notes an answer. */
     fun onAnswer() {
         if (failures > 0) {
-            regainedAt = clock()
+            regainedMs = clock().steadyMs
             logger.event("topic_regained") {
                 field("topic", topic)
                 field("failures", failures)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicFollower.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicFollower.kt
@@ -42,8 +42,8 @@
     /** Starts to read. */
     fun start(): Unit = load(null, Loading(clock(), HashSet()))
 
-    /** Returns whether the store has answered all calls of the last [spanMs]. */
-    fun steadyFor(spanMs: Long): Boolean = watch.steadyFor(spanMs)
+    /** When the store last answered again after it had not, in ms of the steady clock, or null where it always did. */
+    val storeBackMs: Long? get() = watch.regainedMs
 
     private class Loading(val startedAt: BeliefTime, val seen: MutableSet<String>) {
         var resumeAt: Long? = null
