--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/EnginePlacement.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/EnginePlacement.kt
@@ -86,11 +86,17 @@
 
 /** Tells where a request goes. */
 public sealed interface PlacementDecision {
-    /** The request goes to [candidate], which has to read [unreadTokens] of its prompt. */
+    /**
+     * The request goes to [candidate].
+     *
+     * @property unreadTokens the tokens of its prompt that the engine has to read.
+     * @property missedTokens those of them that belong to shared parts.
+     */
     public data class Chosen(
         val candidate: EngineCandidate,
         val expectedWaitMs: Double,
         val unreadTokens: Int,
+        val missedTokens: Int,
     ) : PlacementDecision
 
     /**
@@ -122,7 +128,7 @@
     val options = candidates.withKeptTokens(request.generation, retentionMs, nowMs)
         .map { (candidate, kept) -> Option(candidate, request, kept, nowMs) }
     val best = options.filter { it.obstacle == null }.minByOrNull { it.score }
-    return best?.let { PlacementDecision.Chosen(it.candidate, it.waitMs, it.unread) } ?: refusal(request, options)
+    return best?.let { PlacementDecision.Chosen(it.candidate, it.waitMs, it.unread, it.missed) } ?: refusal(request, options)
 }
 
 private fun refusal(request: PlacementRequest, options: List<Option>): PlacementDecision.Refused {
@@ -139,7 +145,8 @@
     private val total = load.total(nowMs)
     val unread = (generation.promptTokens - kept).toInt().coerceAtLeast(0)
     val waitMs = FIRST_EVENT_MS + (total.unreadTokens + unread) * load.msPerToken + candidate.distanceMs
-    private val againMs = maxOf(0.0, generation.sharedTokens - kept) * load.msPerToken
+    val missed = (generation.sharedTokens - kept).toInt().coerceAtLeast(0)
+    private val againMs = missed * load.msPerToken
     val score = waitMs - candidate.distanceMs + candidate.handicapMs + MISS_WEIGHT * againMs
     private val queueMs = FIRST_EVENT_MS + total.unreadTokens * load.msPerToken + candidate.distanceMs
     private val finishMs = waitMs + generation.outputTokens * load.msPerOutputToken
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayJournal.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayJournal.kt
@@ -31,6 +31,8 @@
         field("endpoint", target.endpoint.id)
         field("expected_ms", target.expectedMs.toLong())
         field("unread_tokens", target.unreadTokens)
+        field("missed_tokens", target.missedTokens)
+        field("shared_tokens", call.generation?.sharedTokens)
         field("attempt", call.attempts + 1)
         field("waited_ms", nowMs - call.times.arrivedMs)
         field("table", tableVersion())
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TargetChooser.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TargetChooser.kt
@@ -56,6 +56,7 @@
     val distanceMs: Double,
     val expectedMs: Double,
     val unreadTokens: Int,
+    val missedTokens: Int,
 )
 
 /** Tells where an attempt goes. */
@@ -157,6 +158,7 @@
                         decision.candidate.distanceMs,
                         decision.expectedWaitMs,
                         decision.unreadTokens,
+                        decision.missedTokens,
                     ),
                 )
             }
@@ -177,7 +179,7 @@
                 state.service.onSent()
                 val distanceMs = decision.candidate.distanceMs
                 TargetDecision.Chosen(
-                    Target(known.entry.endpoint, state, null, distanceMs, decision.expectedMs, 0),
+                    Target(known.entry.endpoint, state, null, distanceMs, decision.expectedMs, 0, 0),
                 )
             }
         }
