Let one router of a region read the store and tell its peers how far

Cause: each router made 2.4 calls a second at the store.

Change: the first live router of a region reads at the topic's pace; its watermarks tell the others that nothing changed, so that they read only after a change, or in turn where the watermarks stop. Ages keep their meaning; a watermark that was held up, a suspension and a clock set otherwise make a belief older, never younger. A router that the store turns away stays as fresh as its peers.

--- /dev/null
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/belief/SuspensionWatch.kt
@@ -0,0 +1,28 @@
+package corneltrack.policy.belief
+
+import kotlin.math.abs
+
+/** The difference between the clocks' advances that slewing and late timers do not explain, in ms. */
+private const val JUMP_MS = 300L
+
+/** How long messages from before a suspension may still be read after it, in ms. */
+private const val SETTLING_MS = 1_000L
+
+/**
+ * Tells whether the machine was suspended, or its time of day set, so lately that messages may have waited meanwhile.
+ *
+ * The steady clock stands still during a suspension, the time of day does not. Not thread-safe.
+ */
+public class SuspensionWatch {
+    private var lastDriftMs: Long? = null
+    private var jumpedMs: Long? = null
+
+    /** Compares both clocks at [now] and returns whether they have advanced alike for a while. */
+    public fun settled(now: BeliefTime): Boolean {
+        val driftMs = now.dayMs - now.steadyMs
+        val last = lastDriftMs
+        if (last != null && abs(driftMs - last) > JUMP_MS) jumpedMs = now.steadyMs
+        lastDriftMs = driftMs
+        return jumpedMs?.let { now.steadyMs - it > SETTLING_MS } ?: true
+    }
+}
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerDigest.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerDigest.kt
@@ -1,6 +1,7 @@
 package corneltrack.router.relay
 
 import corneltrack.policy.Suspicion
+import corneltrack.policy.belief.TopicWatermark
 import kotlinx.serialization.Serializable
 
 /**
@@ -17,13 +18,18 @@
 @Serializable
 internal data class WorkspaceDigest(val asked: Long, val granted: Long)
 
-/** Tells a router's load and suspicions to its peers. */
+/**
+ * Tells a router's load, its suspicions or how far it knows the store to its peers.
+ *
+ * @property watermarks how far it knows each topic.
+ */
 @Serializable
 internal data class PeerDigest(
     val from: String,
     val endpoints: Map<String, EndpointDigest> = emptyMap(),
     val workspaces: Map<String, WorkspaceDigest> = emptyMap(),
     val suspicions: List<Suspicion> = emptyList(),
+    val watermarks: Map<String, TopicWatermark> = emptyMap(),
 )
 
 /**
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
@@ -2,6 +2,8 @@
 
 import corneltrack.policy.Suspicion
 import corneltrack.policy.belief.BeliefClock
+import corneltrack.policy.belief.SuspensionWatch
+import corneltrack.policy.belief.TopicWatermark
 import corneltrack.policy.placing.LoadSummary
 import corneltrack.policy.placing.WorkspaceRate
 import corneltrack.wire.HostAndPort
@@ -12,7 +14,9 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
+import io.netty.channel.FixedRecvByteBufAllocator
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.DatagramPacket
 import io.netty.channel.socket.nio.NioDatagramChannel
@@ -26,6 +30,9 @@
 private const val DIGEST_PERIOD_MS = 100L
 
 private const val SUSPICION_COPIES = 3
+
+/** A digest of a router with streams at all of some 300 engines. */
+private const val LARGEST_DATAGRAM_BYTES = 16_384
 private val PEER_PACE = ReadingPace(waitMs = 10_000, pauseMs = 500)
 private val logger = LogManager.getLogger("corneltrack.router.relay.PeerExchange")
 internal val peerJson: Json = Json { ignoreUnknownKeys = true }
@@ -33,7 +40,10 @@
 /**
  * Finds the other routers in the store and exchanges loads with them, less often across regions.
  *
- * Datagrams may be lost; each digest replaces the one before. Only used on the event loop.
+ * Datagrams may be lost; each digest replaces the one before. What may have waited during a suspension of this machine
+ * tells nothing of how fresh the store's records are. Only used on the event loop.
+ *
+ * @param beliefs what follows the store beside the list of routers.
  */
 internal class PeerExchange(
     private val settings: RelaySettings,
@@ -41,23 +51,28 @@
     private val loop: EventLoop,
     private val clock: BeliefClock,
     private val load: FleetLoad,
+    private val beliefs: () -> List<TopicFollower>,
     private val onSuspicion: (Suspicion) -> Unit,
 ) {
     private val peers = PeerTable(settings)
-    private val follower = TopicFollower("peers", topic, PEER_PACE, loop, clock, peers::onRecord)
+    private val follower = TopicFollower("peers", topic, PEER_PACE, loop, clock, ::rank, peers::onRecord)
+    private val suspensions = SuspensionWatch()
     private var channel: Channel? = null
     private var idleSent = false
+    private var watermarksSentMs = 0L
+    private var changes: Map<String, Long> = emptyMap()
     private var digests = 0L
 
     /** Starts to listen, announces this router and follows the announcements of others. */
     fun start() {
         channel = Bootstrap().group(loop).channel(NioDatagramChannel::class.java)
+            .option(ChannelOption.RECVBUF_ALLOCATOR, FixedRecvByteBufAllocator(LARGEST_DATAGRAM_BYTES))
             .handler(Receiver()).bind(settings.peers.toSocketAddress()).sync().channel()
         loop.execute {
             announce()
             follower.start()
         }
-        loop.scheduleAtFixedRate(::sendDigest, DIGEST_PERIOD_MS, DIGEST_PERIOD_MS, TimeUnit.MILLISECONDS)
+        loop.scheduleAtFixedRate(::onTick, DIGEST_PERIOD_MS, DIGEST_PERIOD_MS, TimeUnit.MILLISECONDS)
     }
 
     /** Takes the announcement back. */
@@ -76,6 +91,28 @@
         }
     }
 
+    /** Returns how many live routers of the region read the store before this one. */
+    fun rank(): Int = peers.rank(clock().steadyMs)
+
+    private fun onTick() {
+        suspensions.settled(clock())
+        sendDigest()
+        sendWatermarks()
+    }
+
+    /** Tells the region's routers how far this one knows the store, at once where that has changed. */
+    private fun sendWatermarks() {
+        val nowMs = clock().steadyMs
+        val watermarks = (beliefs() + follower).mapNotNull { topic -> topic.watermark()?.let { topic.name to it } }
+            .toMap()
+        val changed = watermarks.mapValues { it.value.changed }
+        val due = changed != changes || nowMs - watermarksSentMs >= WATERMARK_PERIOD_MS
+        if (watermarks.isEmpty() || !due) return
+        changes = changed
+        watermarksSentMs = nowMs
+        send(PeerDigest(settings.id.value, watermarks = watermarks), peers.near)
+    }
+
     private fun sendDigest() {
         val nowMs = clock().steadyMs
         val endpoints = load.states.all().filterValues { it.engine.own.running > 0 }
@@ -83,9 +120,10 @@
         val workspaces = load.shares.own(nowMs)
             .map { (id, rate) -> id.value to WorkspaceDigest(rate.asked.toLong(), rate.granted.toLong()) }.toMap()
         val idle = endpoints.isEmpty() && workspaces.isEmpty()
-        if (idle && idleSent) return
+        val digest = PeerDigest(settings.id.value, endpoints, workspaces)
+        val receivers = peers.receivers(digests++)
+        send(digest, if (idle && idleSent) receivers.near else receivers.near + receivers.far)
         idleSent = idle
-        send(PeerDigest(settings.id.value, endpoints, workspaces), peers.receivers(digests++))
     }
 
     private fun send(digest: PeerDigest, to: Collection<PeerRecord>) {
@@ -101,8 +139,10 @@
     private fun onDigest(digest: PeerDigest) {
         val peer = InstanceId(digest.from)
         val nowMs = clock().steadyMs
+        peers.onHeard(peer, nowMs)
         digest.suspicions.forEach(onSuspicion)
-        if (digest.suspicions.isNotEmpty()) return
+        if (suspensions.settled(clock())) digest.watermarks.forEach(::onWatermark)
+        if (digest.suspicions.isNotEmpty() || digest.watermarks.isNotEmpty()) return
         load.states.all().forEach { (id, state) ->
             state.engine.onPeer(peer, digest.endpoints[id.value]?.summary() ?: NOTHING, nowMs)
         }
@@ -112,6 +152,10 @@
         load.shares.onPeer(peer, rates.toMap(), nowMs)
     }
 
+    private fun onWatermark(name: String, watermark: TopicWatermark) {
+        (beliefs() + follower).firstOrNull { it.name == name }?.onWatermark(watermark)
+    }
+
     private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
         override fun channelRead0(context: ChannelHandlerContext, packet: DatagramPacket) {
             val text = packet.content().toString(Charsets.UTF_8)
@@ -129,6 +173,7 @@
 
     private companion object {
         const val ANNOUNCE_RETRY_MS = 1_000L
+        const val WATERMARK_PERIOD_MS = 250L
         val NOTHING = LoadSummary(0, 0, 0)
     }
 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerTable.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerTable.kt
@@ -14,33 +14,56 @@
 /** The far peers that get every third digest, since traffic between regions is billed. */
 private const val FAR_PER_DIGEST = 8
 private const val FAR_EVERY = 3
+
+/** The silence after which a router is taken to be gone, in ms; a few digests may be lost. */
+private const val SILENCE_MS = 1_500L
 private val logger = LogManager.getLogger("corneltrack.router.relay.PeerTable")
 
+/** Holds the routers that get one digest: those of the region and the others. */
+internal data class Receivers(val near: List<PeerRecord>, val far: List<PeerRecord>)
+
 /** Keeps the other routers that announced themselves. */
 internal class PeerTable(private val settings: RelaySettings) {
     private val peers = LinkedHashMap<InstanceId, PeerRecord>()
+    private val heardMs = HashMap<InstanceId, Long>()
 
     /** All known routers but this one. */
     val all: Collection<PeerRecord> get() = peers.values
 
+    /** The known routers of the region but this one. */
+    val near: Collection<PeerRecord> get() = peers.values.filter { it.isNear() }
+
+    /** Notes that [peer] lives. */
+    fun onHeard(peer: InstanceId, nowMs: Long) {
+        heardMs[peer] = nowMs
+    }
+
+    /** Returns how many routers of the region that were heard lately come before this one by name. */
+    fun rank(nowMs: Long): Int = peers.count { (id, record) ->
+        id.value < settings.id.value && record.isNear() && heardMs[id].let { it != null && nowMs - it < SILENCE_MS }
+    }
+
     /** Returns the routers that get digest number [turn]. */
-    fun receivers(turn: Long): List<PeerRecord> {
+    fun receivers(turn: Long): Receivers {
         val (near, far) = all.partition { it.isNear() }
-        val nearNow = near.filterIndexed { index, _ -> isDigestDue(turn, index, near.size, NEAR_PER_DIGEST, 1) }
-        val farNow = far.filterIndexed { index, _ -> isDigestDue(turn, index, far.size, FAR_PER_DIGEST, FAR_EVERY) }
-        return nearNow + farNow
+        return Receivers(
+            near.filterIndexed { index, _ -> isDigestDue(turn, index, near.size, NEAR_PER_DIGEST, 1) },
+            far.filterIndexed { index, _ -> isDigestDue(turn, index, far.size, FAR_PER_DIGEST, FAR_EVERY) },
+        )
     }
 
-    /** Takes in an announcement, or that one was taken back. */
-    fun onRecord(record: KeyedRecord) {
+    /** Takes in an announcement, or that one was taken back. Returns whether it tells anything, which it always does. */
+    fun onRecord(record: KeyedRecord): Boolean {
         val id = InstanceId(record.key)
-        if (id == settings.id) return
+        if (id == settings.id) return true
         val peer = record.value?.let(::decodeRecord)
         if (peer == null) peers.remove(id) else peers[id] = peer
+        if (peer == null) heardMs.remove(id)
         logger.event(if (peer == null) "peer_left" else "peer_found") {
             field("peer", id)
             field("peers", peers.size)
         }
+        return true
     }
 
     private fun decodeRecord(value: ByteArray): PeerRecord? = try {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
@@ -49,10 +49,10 @@
     private val loop: EventLoop = group.next()
     private val clock: BeliefClock = { BeliefTime(monotonicClock(), epochClock()) }
     private val load = FleetLoad()
-    private val beliefs = RoutingBeliefs(source, settings.bounds, loop, clock, ::onTable)
+    private val beliefs = RoutingBeliefs(source, settings.bounds, loop, clock, { peers.rank() }, ::onTable)
     private val suspects = CrashSuspects(epochClock) { peers.share(it) }
     private val peers: PeerExchange =
-        PeerExchange(settings, source.peers, loop, clock, load, suspects::onPeer)
+        PeerExchange(settings, source.peers, loop, clock, load, { beliefs.followers }, suspects::onPeer)
     private val metrics = RelayMetrics()
     private val parts = RelayParts(
         loop,
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RoutingBeliefs.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RoutingBeliefs.kt
@@ -51,16 +51,22 @@
  * Holds what this router believes of the configuration and the endpoints, and how old that is.
  *
  * Only used on the event loop.
+ *
+ * @param rank how many live routers of the region read the store before this one.
  */
 internal class RoutingBeliefs(
     private val source: RoutingSource,
     private val bounds: RelayBounds,
     loop: EventLoop,
     private val clock: BeliefClock,
+    rank: () -> Int,
     private val onTable: (RoutingTable) -> Unit,
 ) {
-    private val operator = TopicFollower("operator", source.operator, OPERATOR_PACE, loop, clock, ::onOperator)
-    private val listing = TopicFollower("endpoints", source.endpoints, ENDPOINT_PACE, loop, clock, ::onEndpoint)
+    private val operator = TopicFollower("operator", source.operator, OPERATOR_PACE, loop, clock, rank, ::onOperator)
+    private val listing = TopicFollower("endpoints", source.endpoints, ENDPOINT_PACE, loop, clock, rank, ::onEndpoint)
+
+    /** What follows the store. */
+    val followers: List<TopicFollower> get() = listOf(operator, listing)
 
     /** The known endpoints. */
     val directory = EndpointDirectory(bounds.relistingMs)
@@ -93,12 +99,13 @@
     /** Drops what has lapsed. */
     fun expire() = directory.expire(clock().steadyMs).forEach { logChange(it, DirectoryChange.REMOVED) }
 
-    private fun onOperator(record: KeyedRecord) {
+    private fun onOperator(record: KeyedRecord): Boolean {
         when (val subject = source.subjectOf(record.key)) {
             OperatorSubject.Table -> record.value?.let(::onTableRecord)
             is OperatorSubject.Evacuation -> onEvacuation(subject.dataCentre, record.value != null)
             OperatorSubject.Other -> logger.event("operator_record_unknown") { field("key", record.key) }
         }
+        return true
     }
 
     private fun onTableRecord(value: ByteArray) {
@@ -126,16 +133,18 @@
         }
     }
 
-    private fun onEndpoint(record: KeyedRecord) {
+    /** Heartbeats that tell nothing new change nothing. */
+    private fun onEndpoint(record: KeyedRecord): Boolean {
         val nowMs = clock().steadyMs
         val entry = record.value?.let { source.decodeEndpoint(record.key, it) }
-        if (entry != null) {
-            logChange(entry.endpoint.id, directory.onEntry(entry, nowMs))
-        } else {
-            val id = EndpointId(record.key)
-            if (record.value != null) logger.event("endpoint_record_unreadable") { field("endpoint", id) }
-            logChange(id, directory.onRemoved(id, listing.storeBackMs, nowMs))
+        val id = EndpointId(record.key)
+        if (entry == null && record.value != null) {
+            logger.event("endpoint_record_unreadable") { field("endpoint", id) }
         }
+        val change = entry?.let { directory.onEntry(it, nowMs) }
+            ?: directory.onRemoved(id, listing.storeBackMs, nowMs)
+        logChange(id, change)
+        return change != DirectoryChange.NONE
     }
 
     private fun logChange(id: EndpointId, change: DirectoryChange) {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicFollower.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicFollower.kt
@@ -2,11 +2,19 @@
 
 import corneltrack.policy.belief.BeliefClock
 import corneltrack.policy.belief.BeliefTime
+import corneltrack.policy.belief.TopicWatermark
+import corneltrack.policy.belief.readingPatienceMs
 import corneltrack.wire.event
 import io.netty.channel.EventLoop
 import org.apache.logging.log4j.LogManager
+import java.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
 
+/** How often a router that leaves the reading to a peer looks whether it has to read, in ms. */
+private const val CHECK_MS = 100L
+
+/** The records past which reading the newest ones of all keys costs less than reading each. */
+private const val LONGEST_CATCH_UP = 200L
 private val logger = LogManager.getLogger("corneltrack.router.relay.TopicFollower")
 
 /**
@@ -20,30 +28,68 @@
 /**
  * Follows a keyed topic: first its newest records, then each further one; from the start again where records expired.
  *
- * Every state it passes on has an as-of time: a moment at which the store showed that nothing newer existed.
+ * Every state it passes on has an as-of time: a moment at which the store showed that nothing newer existed, to this
+ * router or to a peer that sent its watermark. Only the first router of a region reads at [pace]; the others read where
+ * a watermark tells of a change, or where none has come for too long.
  *
- * @param onRecord takes a record; a null value means that the key is gone.
+ * @property name names the topic in logs and among peers.
+ * @param rank how many live routers of the region read before this one.
+ * @param onRecord takes a record; a null value means that the key is gone. Returns whether it changed anything.
  */
 internal class TopicFollower(
-    private val name: String,
+    val name: String,
     private val topic: KeyedTopic,
     private val pace: ReadingPace,
     private val loop: EventLoop,
     private val clock: BeliefClock,
-    private val onRecord: (KeyedRecord) -> Unit,
+    private val rank: () -> Int,
+    private val onRecord: (KeyedRecord) -> Boolean,
 ) {
     private val offsets = HashMap<String, Long>()
     private val watch = StoreWatch(name, clock)
+    private var changed = 0L
+    private var behind = false
+    private var reads = false
+    private var idle = false
+    private var check: ScheduledFuture<*>? = null
+    private var end = 0L
+    private var peerStoreBackMs: Long? = null
 
     /** The latest moment up to which this router knows all records; null before the first. */
     var asOf: BeliefTime? = null
         private set
 
+    /** When the store last answered again after it had not, in ms of the steady clock, or null where it always did. */
+    val storeBackMs: Long? get() = listOfNotNull(watch.regainedMs, peerStoreBackMs).maxOrNull()
+
     /** Starts to read. */
     fun start(): Unit = load(null, Loading(clock(), HashSet()))
 
-    /** When the store last answered again after it had not, in ms of the steady clock, or null where it always did. */
-    val storeBackMs: Long? get() = watch.regainedMs
+    /** Returns how far this router knows the topic, or null where it leaves the reading to a peer. */
+    fun watermark(): TopicWatermark? {
+        val since = asOf ?: return null
+        if (!reads && rank() > 0) return null
+        val now = clock()
+        val backAgeMs = storeBackMs?.let { now.steadyMs - it }
+        return TopicWatermark(end, changed, now.since(since), since.dayMs, backAgeMs)
+    }
+
+    /** Takes in a peer's [watermark]. */
+    fun onWatermark(watermark: TopicWatermark) {
+        val current = asOf ?: return
+        val now = clock()
+        watermark.storeBackAgeMs?.let { peerStoreBackMs = maxOf(peerStoreBackMs ?: Long.MIN_VALUE, now.steadyMs - it) }
+        if (watermark.changed > end) {
+            behind = true
+            if (idle) catchUp(watermark.end)
+            return
+        }
+        val offered = watermark.asOf(now)
+        if (now.since(offered) < now.since(current)) {
+            asOf = offered
+            reads = false
+        }
+    }
 
     private class Loading(val startedAt: BeliefTime, val seen: MutableSet<String>) {
         var resumeAt: Long? = null
@@ -72,43 +118,72 @@
         }
         val resumeAt = loading.resumeAt ?: page.end
         offsets.filter { (key, offset) -> key !in loading.seen && offset < resumeAt }.keys.toList()
-            .forEach { accept(KeyedRecord(it, null, resumeAt)) }
+            .forEach { accept(KeyedRecord(it, null, resumeAt - 1)) }
+        end = resumeAt
         asOf = loading.startedAt
-        read(resumeAt)
+        read(pace.waitMs)
     }
 
-    private fun read(from: Long) {
+    private fun read(waitMs: Long) {
         val sentAt = clock()
-        topic.read(from, pace.waitMs, watch.timeoutMs) { reply ->
+        topic.read(end, waitMs, watch.timeoutMs) { reply ->
             when (reply) {
-                is TopicReply.Records -> onRecords(reply, sentAt)
+                is TopicReply.Records -> onRecords(reply, sentAt, waitMs)
                 TopicReply.Expired -> {
                     logger.event("topic_expired") { field("topic", name) }
                     watch.onAnswer()
                     start()
                 }
-                else -> onFailure(reply) { read(from) }
+                else -> onFailure(reply) { read(waitMs) }
             }
         }
     }
 
-    private fun onRecords(page: TopicReply.Records, sentAt: BeliefTime) {
+    private fun onRecords(page: TopicReply.Records, sentAt: BeliefTime, waitMs: Long) {
         watch.onAnswer()
         page.records.forEach(::accept)
-        if (page.next >= page.end) {
-            val waited = if (page.records.isEmpty()) minOf(pace.waitMs, clock().steadyMs - sentAt.steadyMs) else 0
-            asOf = sentAt.plus(waited)
-            after(pace.pauseMs) { read(page.next) }
+        end = page.next
+        if (end < page.end) {
+            read(waitMs)
+            return
+        }
+        val waited = if (page.records.isEmpty()) minOf(waitMs, clock().steadyMs - sentAt.steadyMs) else 0
+        asOf = sentAt.plus(waited)
+        behind = false
+        readOnLater()
+    }
+
+    /** Reads on at the pace, or leaves that to the peers that come first. */
+    private fun readOnLater() {
+        if (rank() == 0) {
+            reads = true
+            after(pace.pauseMs) { read(pace.waitMs) }
         } else {
-            read(page.next)
+            idle = true
+            check = loop.schedule(::checkPatience, CHECK_MS, TimeUnit.MILLISECONDS)
         }
     }
 
+    private fun checkPatience() {
+        idle = false
+        val ageMs = asOf?.let { clock().since(it) } ?: Long.MAX_VALUE
+        val lapsed = ageMs >= readingPatienceMs(pace.waitMs + pace.pauseMs, rank())
+        if (lapsed) reads = true
+        if (lapsed || behind) read(0) else readOnLater()
+    }
+
+    /** Catches up with a peer that knows the topic up to [peerEnd]. */
+    private fun catchUp(peerEnd: Long) {
+        idle = false
+        check?.cancel(false)
+        if (peerEnd - end > LONGEST_CATCH_UP) start() else read(0)
+    }
+
     private fun accept(record: KeyedRecord) {
-        val known = offsets[record.key]
-        if (known != null && record.offset <= known) return
+        val last = offsets[record.key]
+        if (last != null && record.offset <= last) return
         if (record.value == null) offsets.remove(record.key) else offsets[record.key] = record.offset
-        onRecord(record)
+        if (onRecord(record)) changed = maxOf(changed, record.offset + 1)
     }
 
     private fun onFailure(reply: TopicReply, retry: () -> Unit) {
--- /dev/null
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/TopicFollowerTest.kt
@@ -0,0 +1,193 @@
+package corneltrack.router.relay
+
+import corneltrack.policy.belief.BeliefTime
+import corneltrack.policy.belief.TopicWatermark
+import io.netty.channel.embedded.EmbeddedChannel
+import java.util.concurrent.TimeUnit
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNotNull
+import kotlin.test.assertTrue
+
+private const val STEP_MS = 10L
+private const val PAUSE_MS = 1_000L
+private const val WATERMARK_EVERY_MS = 250L
+
+class TopicFollowerTest {
+    private val channel = EmbeddedChannel()
+    private val store = ScriptedStore()
+    private var nowMs = 50_000L
+    private var rank = 1
+    private val seen = ArrayList<String>()
+    private val reader = follower { 0 }
+    private val follower = follower { rank }
+    private var readerLives = true
+
+    @Test
+    fun `a router that hears watermarks stays fresh without a call to the store`() {
+        startBoth()
+        val calls = store.calls
+
+        advance(20_000)
+
+        assertTrue(store.calls - calls <= 22, "only the first router reads: ${store.calls - calls} calls in 20 s")
+        assertTrue(ageMs() <= PAUSE_MS + WATERMARK_EVERY_MS + 100, "age ${ageMs()} ms")
+    }
+
+    @Test
+    fun `a change that a watermark tells of is read at once`() {
+        startBoth()
+        store.put("endpoint", "leaving")
+
+        advance(PAUSE_MS + WATERMARK_EVERY_MS + 50)
+
+        assertEquals("leaving", seen.last())
+    }
+
+    @Test
+    fun `heartbeats are left to the first router`() {
+        startBoth()
+        val before = seen.size
+
+        repeat(10) {
+            store.put("endpoint", "heartbeat")
+            advance(500)
+        }
+
+        assertEquals(before, seen.size, "records read by the second router")
+        assertTrue(ageMs() <= PAUSE_MS + WATERMARK_EVERY_MS + 100, "age ${ageMs()} ms")
+    }
+
+    @Test
+    fun `where the first router falls silent the next one reads`() {
+        startBoth()
+        readerLives = false
+        store.put("endpoint", "leaving")
+
+        advance(2_000)
+
+        assertEquals("leaving", seen.last())
+        assertNotNull(follower.watermark(), "it tells the others")
+        advance(10_000)
+        assertTrue(ageMs() <= 1_700, "age ${ageMs()} ms")
+    }
+
+    @Test
+    fun `a router that the store turns away stays as fresh as its peers`() {
+        startBoth()
+        store.refuses = { it === follower }
+
+        advance(10_000)
+
+        assertTrue(ageMs() <= PAUSE_MS + WATERMARK_EVERY_MS + 100, "age ${ageMs()} ms")
+    }
+
+    @Test
+    fun `a router that cannot read a change grows older`() {
+        startBoth()
+        store.refuses = { it === follower }
+        store.put("endpoint", "leaving")
+
+        advance(5_000)
+
+        assertTrue(ageMs() >= 4_000, "age ${ageMs()} ms")
+    }
+
+    @Test
+    fun `a watermark that was held up on its way does not make a belief look fresher`() {
+        startBoth()
+        readerLives = false
+        val held = assertNotNull(reader.watermark())
+        store.refuses = { it === follower }
+
+        advance(4_000)
+        follower.onWatermark(held)
+
+        assertTrue(ageMs() >= 4_000, "age ${ageMs()} ms")
+    }
+
+    @Test
+    fun `a router far behind reads the newest records instead of all between`() {
+        startBoth()
+        repeat(1_000) { store.put("endpoint", "heartbeat") }
+        store.put("endpoint", "leaving")
+        val pages = store.pages
+
+        advance(PAUSE_MS + WATERMARK_EVERY_MS + 50)
+
+        assertEquals("leaving", seen.last())
+        assertEquals(pages + 1, store.pages)
+    }
+
+    private fun startBoth() {
+        store.put("endpoint", "ready")
+        reader.start()
+        follower.start()
+        advance(2_000)
+    }
+
+    private fun ageMs() = BeliefTime(nowMs, nowMs).since(assertNotNull(follower.asOf))
+
+    private fun advance(spanMs: Long) {
+        repeat((spanMs / STEP_MS).toInt()) {
+            nowMs += STEP_MS
+            channel.advanceTimeBy(STEP_MS, TimeUnit.MILLISECONDS)
+            channel.runScheduledPendingTasks()
+            if (nowMs % WATERMARK_EVERY_MS == 0L && readerLives) deliver(reader.watermark())
+        }
+    }
+
+    private fun deliver(watermark: TopicWatermark?) {
+        watermark?.let(follower::onWatermark)
+    }
+
+    private fun follower(rank: () -> Int): TopicFollower {
+        lateinit var follower: TopicFollower
+        follower = TopicFollower(
+            "endpoints",
+            store.topic { follower },
+            ReadingPace(waitMs = 0, pauseMs = PAUSE_MS),
+            channel.eventLoop(),
+            { BeliefTime(nowMs, nowMs) },
+            rank,
+        ) { record ->
+            val text = record.value?.let { String(it) } ?: "removed"
+            if (follower === this.follower) seen += text
+            text != "heartbeat"
+        }
+        return follower
+    }
+}
+
+/** Answers at once, and turns away whom [refuses] names. */
+private class ScriptedStore {
+    private val records = ArrayList<KeyedRecord>()
+    var calls = 0
+    var pages = 0
+    var refuses: (TopicFollower) -> Boolean = { false }
+
+    fun put(key: String, value: String) {
+        records += KeyedRecord(key, value.toByteArray(), records.size.toLong())
+    }
+
+    fun topic(caller: () -> TopicFollower) = KeyedTopic(
+        newest = { _, _, onReply -> answer(caller, onReply) { newest() } },
+        read = { from, _, _, onReply -> answer(caller, onReply) { rest(from) } },
+        write = { _, _, _ -> error("nothing is written") },
+    )
+
+    private fun newest(): TopicReply {
+        pages++
+        return TopicReply.Newest(records.groupBy { it.key }.map { it.value.last() }, null, records.size.toLong())
+    }
+
+    private fun rest(from: Long): TopicReply {
+        val end = records.size.toLong()
+        return TopicReply.Records(records.drop(from.toInt()), end, end)
+    }
+
+    private fun answer(caller: () -> TopicFollower, onReply: (TopicReply) -> Unit, reply: () -> TopicReply) {
+        calls++
+        onReply(if (refuses(caller())) TopicReply.Unavailable("refused") else reply())
+    }
+}
