Break a stream off where the endpoint that is to go on with it fails

Change: a failure after a part of an answer lets another endpoint go on or breaks the connection off. One test through the router and one of the decision; both fail on the code before.

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/limits/RelayDecision.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/limits/RelayDecision.kt
@@ -8,8 +8,12 @@
     /** The endpoint said that the request did not run. */
     public data class NotRun(val status: Int) : RelayEnd
 
-    /** The endpoint answered in full that the request failed. */
-    public data class Failed(val status: Int) : RelayEnd
+    /**
+     * The endpoint answered in full that the request failed.
+     *
+     * @property delivered whether the caller has seen a part of another endpoint's answer.
+     */
+    public data class Failed(val status: Int, val delivered: Boolean = false) : RelayEnd
 
     /**
      * The connection broke, or what came is no answer to this request.
@@ -69,16 +73,23 @@
     return when (end) {
         is RelayEnd.NotSent -> if (inTime) RelayStep.SendAgain else request.unanswered(end.reason)
         is RelayEnd.NotRun -> if (mayRepeat()) RelayStep.SendAgain else request.unanswered("status ${end.status}")
-        is RelayEnd.Failed -> if (request.repeatable && mayRepeat()) RelayStep.SendAgain else RelayStep.Deliver
+        is RelayEnd.Failed -> when {
+            end.delivered -> request.goOnOrAbort("status ${end.status}", mayRepeat)
+            request.repeatable && mayRepeat() -> RelayStep.SendAgain
+            else -> RelayStep.Deliver
+        }
         is RelayEnd.Broken -> request.broken(end, mayRepeat)
     }
 }
 
 private fun RelayedRequest.broken(end: RelayEnd.Broken, mayRepeat: () -> Boolean): RelayStep = when {
-    end.delivered -> if (resumable && mayRepeat()) RelayStep.Resume else RelayStep.Abort(end.reason)
+    end.delivered -> goOnOrAbort(end.reason, mayRepeat)
     repeatable && mayRepeat() -> RelayStep.SendAgain
     else -> RelayStep.AnswerUnknown(end.reason)
 }
 
+private fun RelayedRequest.goOnOrAbort(reason: String, mayRepeat: () -> Boolean): RelayStep =
+    if (resumable && mayRepeat()) RelayStep.Resume else RelayStep.Abort(reason)
+
 private fun RelayedRequest.unanswered(reason: String): RelayStep =
     if (mayHaveRun && !repeatable) RelayStep.AnswerUnknown(reason) else RelayStep.RefuseNotRun(reason)
--- a/corneltrack-policy/src/test/kotlin/corneltrack/policy/limits/RelayDecisionTest.kt
+++ b/corneltrack-policy/src/test/kotlin/corneltrack/policy/limits/RelayDecisionTest.kt
@@ -54,6 +54,15 @@
         assertIs<RelayStep.Abort>(decide(idempotent.copy(resumable = true), delivered, allowed = false))
     }
 
+    @Test
+    fun `a failure never ends an answer that the caller has a part of`() {
+        val failed = RelayEnd.Failed(500, delivered = true)
+
+        assertEquals(RelayStep.Resume, decide(idempotent.copy(resumable = true), failed))
+        assertIs<RelayStep.Abort>(decide(idempotent.copy(resumable = true, attempts = 2), failed))
+        assertIs<RelayStep.Abort>(decide(once, failed))
+    }
+
     @Test
     fun `a failure is passed on where the request may not run again`() {
         assertEquals(RelayStep.Deliver, decide(once, RelayEnd.Failed(500)))
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointAttempt.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointAttempt.kt
@@ -94,6 +94,7 @@
                 notRun -> Unit
                 !facts.genuine -> onBroken("unsigned answer with status $code")
                 events -> delivery = EventDelivery(call, response) { timing.onEvent(parts.nowMs()) }
+                call.delivered -> Unit
                 else -> delivery = WholeDelivery(call, response)
             }
         }
@@ -105,12 +106,14 @@
 
         override fun onEnd() {
             val code = status ?: 0
+            val begunHere = delivery != null && call.delivered
             when {
                 notRun -> onNotRun(code)
-                code < FIRST_REDIRECT || call.delivered -> onSuccess()
+                code < FIRST_REDIRECT || begunHere -> onSuccess()
                 else -> {
                     val failing = code >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code()
-                    fail(if (failing) EndpointSign.FAILED else EndpointSign.GOOD, RelayEnd.Failed(code))
+                    val end = RelayEnd.Failed(code, call.delivered)
+                    fail(if (failing) EndpointSign.FAILED else EndpointSign.GOOD, end)
                 }
             }
         }
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/EventRelayTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/EventRelayTest.kt
@@ -49,6 +49,27 @@
         assertTrue(answer.endsWith(LAST_CHUNK))
     }
 
+    @Test
+    fun `a stream whose resumption fails does not look whole and gets nothing of the failure`() {
+        val script = { request: ReadRequest, socket: Socket ->
+            if (request.headers["last-event"] == null) {
+                socket.send(signedStream(request) + chunk(event(1) + event(2)))
+                socket.close()
+            } else {
+                socket.send(signed(request, "the failure's body", status = "500 Internal Server Error"))
+            }
+        }
+        fixture.endpoint("a", script = script)
+        fixture.endpoint("b", script = script)
+        fixture.start()
+        repeat(10) { fixture.call("/stream/allowance", headers = "tokens: 10\r\n") }
+
+        val answer = fixture.call("/resumed/x", headers = "tokens: 10\r\n")
+
+        assertEquals(event(1) + event(2), body(answer))
+        assertFalse(answer.endsWith(LAST_CHUNK))
+    }
+
     @Test
     fun `a broken stream that may not be resumed does not look whole`() {
         fixture.endpoint("a") { request, socket ->
