Sum up peers' loads once and rank engines without sorting

Cause: for each request a router summed all peers' loads at all engines and sorted the engines twice by hash: with 72 routers and 98 engines some 14,000 steps.

Change: running sums, a kept order for the size classes, the two smallest hashes for the homes. The decisions are the same; existing tests hold them.

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/EngineLoad.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/EngineLoad.kt
@@ -23,7 +23,15 @@
  * @property running requests sent and not ended.
  * @property memoryTokens tokens that the running requests keep in the engine's memory, shared parts left out.
  */
-public data class LoadSummary(val unreadTokens: Long, val running: Int, val memoryTokens: Long)
+public data class LoadSummary(val unreadTokens: Long, val running: Int, val memoryTokens: Long) {
+    internal operator fun plus(other: LoadSummary) =
+        LoadSummary(unreadTokens + other.unreadTokens, running + other.running, memoryTokens + other.memoryTokens)
+
+    internal operator fun minus(other: LoadSummary) =
+        LoadSummary(unreadTokens - other.unreadTokens, running - other.running, memoryTokens - other.memoryTokens)
+}
+
+private val NOTHING = LoadSummary(0, 0, 0)
 
 /** Tracks one request at an engine from its sending to its end. */
 public class EngineRun internal constructor(
@@ -46,6 +54,8 @@
     private data class PeerLoad(val summary: LoadSummary, val atMs: Long)
 
     private val peers = HashMap<InstanceId, PeerLoad>()
+    private var peerTotal = NOTHING
+    private var heardUntilMs = Long.MAX_VALUE
     private var unreadTokens = 0L
     private var running = 0
     private var memoryTokens = 0L
@@ -65,21 +75,22 @@
 
     /** Returns what all known routers have under way. */
     public fun total(nowMs: Long): LoadSummary {
-        var sum = own
-        peers.values.removeIf { nowMs - it.atMs > PEER_SILENCE_MS }
-        peers.values.forEach {
-            sum = LoadSummary(
-                sum.unreadTokens + it.summary.unreadTokens,
-                sum.running + it.summary.running,
-                sum.memoryTokens + it.summary.memoryTokens,
-            )
-        }
-        return sum
+        if (nowMs > heardUntilMs) dropSilent(nowMs)
+        return own + peerTotal
     }
 
     /** Takes in what [peer] has under way here. */
     public fun onPeer(peer: InstanceId, summary: LoadSummary, nowMs: Long) {
-        peers[peer] = PeerLoad(summary, nowMs)
+        val before = if (summary == NOTHING) peers.remove(peer) else peers.put(peer, PeerLoad(summary, nowMs))
+        if (before != null) peerTotal -= before.summary
+        peerTotal += summary
+        heardUntilMs = minOf(heardUntilMs, nowMs + PEER_SILENCE_MS)
+    }
+
+    private fun dropSilent(nowMs: Long) {
+        peers.values.removeIf { nowMs - it.atMs > PEER_SILENCE_MS }
+        peerTotal = peers.values.fold(NOTHING) { sum, peer -> sum + peer.summary }
+        heardUntilMs = peers.values.minOfOrNull { it.atMs + PEER_SILENCE_MS } ?: Long.MAX_VALUE
     }
 
     /** Notes that a request is sent, of whose prompt [unread] tokens are to be read. */
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/EnginePlacement.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/EnginePlacement.kt
@@ -176,21 +176,22 @@
     retentionMs: Long,
     nowMs: Long,
 ): List<Pair<EngineCandidate, Double>> {
-    val ranks = homeRanks(generation)
+    val (home, second) = homes(generation)
     return map { candidate ->
         val known = candidate.prefixes.keptTokens(generation.parts, nowMs, retentionMs).toDouble()
-        val guessed = when (ranks[candidate.id]) {
-            0 -> HOME_KEPT
-            1 -> SECOND_KEPT
+        val guessed = when (candidate) {
+            home -> HOME_KEPT
+            second -> SECOND_KEPT
             else -> 0.0
         } * generation.sharedTokens
         candidate to maxOf(known, guessed)
     }
 }
 
-/** Ranks the candidates by rendezvous hashing of the last shared part. */
-private fun List<EngineCandidate>.homeRanks(generation: Generation): Map<EndpointId, Int> {
-    val key = generation.sharedPart?.chain ?: return emptyMap()
-    return sortedBy { mixed(key, it.id.value.hashCode().toLong()) }
-        .withIndex().associate { (rank, candidate) -> candidate.id to rank }
+/** Returns the first and second candidate by rendezvous hashing of the last shared part. */
+private fun List<EngineCandidate>.homes(generation: Generation): Pair<EngineCandidate?, EngineCandidate?> {
+    val key = generation.sharedPart?.chain ?: return null to null
+    val rank = { candidate: EngineCandidate -> mixed(key, candidate.id.value.hashCode().toLong()) }
+    val home = minByOrNull(rank)
+    return home to filter { it !== home }.minByOrNull(rank)
 }
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/PromptLanes.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/PromptLanes.kt
@@ -21,6 +21,7 @@
 public class PromptLanes(private val bounds: List<Int>) {
     private val tokens = DoubleArray(bounds.size + 1)
     private var atMs = 0L
+    private var rankedEngines: List<EndpointId> = emptyList()
 
     /** Returns the size class of [generation]: 0 for the shortest. */
     public fun classOf(generation: Generation): Int = bounds.count { generation.promptTokens >= it }
@@ -45,7 +46,7 @@
 
     /** Returns the size class that each of [engines] is set apart for. */
     internal fun assign(engines: Collection<EndpointId>): Map<EndpointId, Int> {
-        val ranked = engines.sortedBy { mixed(LANE_KEY, it.value.hashCode().toLong()) }
+        val ranked = ranked(engines)
         val total = tokens.sum()
         val lanes = HashMap<EndpointId, Int>()
         var next = 0
@@ -57,6 +58,14 @@
         return lanes
     }
 
+    /** Returns [engines] in the order in which all routers set them apart; kept until the engines change. */
+    private fun ranked(engines: Collection<EndpointId>): List<EndpointId> {
+        if (rankedEngines.size != engines.size || !engines.containsAll(rankedEngines)) {
+            rankedEngines = engines.sortedBy { mixed(LANE_KEY, it.value.hashCode().toLong()) }
+        }
+        return rankedEngines
+    }
+
     private fun wanted(size: Int, engines: Int, total: Double): Int =
         if (total <= 0) 0 else ceil(engines * tokens[size] / total * HEADROOM - ROUNDING).toInt()
 
