Refuse at once what a router reads too late, and send digests as protobuf

Change: a periodic task measures how late the event loop reads; past 200 ms a request is refused as not run, to be tried at another router after 100 ms. Digests of peers, 87 a second in a fleet of 77, are protobuf instead of JSON; events are not turned into text to find their number.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EventSplitter.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EventSplitter.kt
@@ -55,5 +55,19 @@
     }
 }
 
-private fun ByteBuf.eventId(): String? =
-    toString(Charsets.UTF_8).lineSequence().firstOrNull { it.startsWith(ID_FIELD) }?.removePrefix(ID_FIELD)?.trim()
+/** Returns the value of the first field of this event that holds its number, or null. */
+private fun ByteBuf.eventId(): String? {
+    var lineStart = readerIndex()
+    while (lineStart < writerIndex()) {
+        val lineEnd = indexOf(lineStart, writerIndex(), LINE_FEED).let { if (it < 0) writerIndex() else it }
+        if (startsWithId(lineStart, lineEnd)) {
+            val valueStart = lineStart + ID_FIELD.length
+            return toString(valueStart, lineEnd - valueStart, Charsets.UTF_8).trim()
+        }
+        lineStart = lineEnd + 1
+    }
+    return null
+}
+
+private fun ByteBuf.startsWithId(start: Int, end: Int): Boolean =
+    end - start >= ID_FIELD.length && ID_FIELD.indices.all { getByte(start + it) == ID_FIELD[it].code.toByte() }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
@@ -8,9 +8,11 @@
 import corneltrack.policy.placing.WorkspaceRate
 import corneltrack.wire.HostAndPort
 import corneltrack.wire.event
+import corneltrack.wire.wireProtobuf
 import corneltrack.world.InstanceId
 import corneltrack.world.WorkspaceId
 import io.netty.bootstrap.Bootstrap
+import io.netty.buffer.ByteBufUtil
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
@@ -21,6 +23,8 @@
 import io.netty.channel.socket.DatagramPacket
 import io.netty.channel.socket.nio.NioDatagramChannel
 import kotlinx.serialization.SerializationException
+import kotlinx.serialization.decodeFromByteArray
+import kotlinx.serialization.encodeToByteArray
 import kotlinx.serialization.encodeToString
 import kotlinx.serialization.json.Json
 import org.apache.logging.log4j.Level
@@ -129,7 +133,7 @@
     private fun send(digest: PeerDigest, to: Collection<PeerRecord>) {
         val current = channel ?: return
         if (to.isEmpty()) return
-        val bytes = peerJson.encodeToString(digest).toByteArray()
+        val bytes = wireProtobuf.encodeToByteArray(digest)
         to.mapNotNull { HostAndPort.parse(it.address) }.forEach { address ->
             current.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), address.toSocketAddress()))
         }
@@ -158,9 +162,9 @@
 
     private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
         override fun channelRead0(context: ChannelHandlerContext, packet: DatagramPacket) {
-            val text = packet.content().toString(Charsets.UTF_8)
+            val bytes = ByteBufUtil.getBytes(packet.content())
             try {
-                onDigest(peerJson.decodeFromString<PeerDigest>(text))
+                onDigest(wireProtobuf.decodeFromByteArray<PeerDigest>(bytes))
             } catch (fault: SerializationException) {
                 logger.event("peer_digest_unreadable", Level.WARN) { field("reason", fault.message) }
             }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/Relay.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/Relay.kt
@@ -1,5 +1,6 @@
 package corneltrack.router.relay
 
+import corneltrack.policy.limits.ReadingLag
 import corneltrack.policy.placing.WorkspaceShares
 import corneltrack.router.callers.AnswerSink
 import corneltrack.router.callers.CallerAnswer
@@ -11,6 +12,12 @@
 import java.util.concurrent.ThreadLocalRandom
 
 private const val LEAVING_RETRY_MS = 50L
+
+/** Long enough for a collection of garbage, a third of the shortest time after which callers give up unread requests. */
+private const val LONGEST_LAG_MS = 200L
+
+/** The next try of a caller reaches another router. */
+private const val OVERLOADED_RETRY_MS = 100L
 private const val QUARANTINE_RETRY_MS = 10_000L
 private const val FRESH_SHARE = 0.85
 private const val UNNAMED = "-"
@@ -22,6 +29,7 @@
     private val beliefs: RoutingBeliefs,
     private val parts: RelayParts,
     private val shares: WorkspaceShares,
+    private val lag: ReadingLag,
 ) {
     private val longestTimes = HashMap<String, Long>()
 
@@ -33,6 +41,7 @@
     fun handle(request: CallerRequest, sink: AnswerSink): () -> Unit {
         val facts = parts.dialect.readRequest(request.head)
         if (closed) return refuse(facts, LEAVING, sink)
+        if (lag.lagMs(parts.nowMs()) > LONGEST_LAG_MS) return refuse(facts, OVERLOADED, sink)
         val draw = ThreadLocalRandom.current().nextDouble()
         return when (val admission = admitCall(facts, beliefs.table, beliefs.keysTooOld(), draw)) {
             is CallAdmission.Refused -> refuse(facts, admission.refusal, sink)
@@ -122,6 +131,12 @@
     "This router is shutting down.",
     retryAfterMs = LEAVING_RETRY_MS,
 )
+private val OVERLOADED = Refusal(
+    HttpResponseStatus.SERVICE_UNAVAILABLE,
+    "router_overloaded",
+    "This router cannot keep up with its callers.",
+    retryAfterMs = OVERLOADED_RETRY_MS,
+)
 private val QUARANTINED = Refusal(
     HttpResponseStatus.SERVICE_UNAVAILABLE,
     "quarantined",
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
@@ -2,6 +2,7 @@
 
 import corneltrack.policy.belief.BeliefClock
 import corneltrack.policy.belief.BeliefTime
+import corneltrack.policy.limits.ReadingLag
 import corneltrack.router.EndpointConnections
 import corneltrack.router.callers.CallerConnection
 import corneltrack.router.callers.CallerConnections
@@ -27,6 +28,7 @@
 private const val METRICS_PATH = "/metrics"
 private const val METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 private const val TICK_MS = 250L
+private const val LAG_TICK_MS = 50L
 private const val OUT_OF_ROTATION_MS = 2_600L
 private const val DRAIN_POLL_MS = 50L
 private const val DEFAULT_HEAD_BYTES = 16_384
@@ -65,7 +67,8 @@
         settings.bounds,
         monotonicClock,
     )
-    private val relay = Relay(beliefs, parts, load.shares)
+    private val lag = ReadingLag(LAG_TICK_MS)
+    private val relay = Relay(beliefs, parts, load.shares, lag)
     private val connections = CallerConnections()
     private val callers = CallerServer(group) {
         CallerConnection(connectionLimits, connections) { request, _, sink -> relay.handle(request, sink) }
@@ -86,6 +89,7 @@
         peers.start()
         loop.execute(beliefs::start)
         loop.scheduleAtFixedRate(::tick, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS)
+        loop.scheduleWithFixedDelay({ lag.onTick(monotonicClock()) }, LAG_TICK_MS, LAG_TICK_MS, TimeUnit.MILLISECONDS)
         logger.event("router_started") {
             field("instance", settings.id)
             field("data_centre", settings.dataCentre)
