Let workspaces far below their share have beginnings read again

Change: below 0.6 of its share that weight falls, to a tenth of it at 0.3, while more is asked than granted.

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/AdmissionLimits.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/AdmissionLimits.kt
@@ -8,6 +8,11 @@
 private const val STANDING_BEFORE = 0.7
 private const val STANDING_PAST = 1.0
 
+/** The standings between which what an engine would read again weighs from nearly nothing to its full weight. */
+private const val STANDING_STARVED = 0.3
+private const val STANDING_SERVED = 0.6
+private const val LEAST_MISS_SHARE = 0.1
+
 /** What a request past its objective may still be expected to wait, as a part of the objective. */
 private const val LATE_SHARE = 0.2
 
@@ -19,15 +24,17 @@
  *
  * @property waitMs bounds the wait with the reading of its own prompt.
  * @property queueMs bounds the wait before its own prompt is read, for prompts that cannot start within [waitMs].
+ * @property missShare how much of its weight counts what an engine would read again: 1 for all.
  */
-public data class AdmissionLimits(val waitMs: Double, val queueMs: Double)
+public data class AdmissionLimits(val waitMs: Double, val queueMs: Double, val missShare: Double)
 
 /**
  * Returns the limits for a request whose objective is [objectiveMs] and whose caller began to wait [elapsedMs] ago.
  *
  * Answers lasting overload: workspaces with more than their share are refused at a shorter queue than others, so that
  * the queue hovers where only they are refused. Requests that come back past their objective yield to those that can
- * still be answered in time.
+ * still be answered in time. A workspace far below its share, whose beginnings meet at busy engines, may go to others
+ * that have to read them again.
  *
  * @param standing what the workspace was granted as a multiple of its share.
  */
@@ -36,5 +43,6 @@
     val share = FULL_SHARE - past * (FULL_SHARE - LEAST_SHARE)
     val left = (objectiveMs - elapsedMs).toDouble()
     val waitMs = maxOf(left * share, objectiveMs * LATE_SHARE)
-    return AdmissionLimits(waitMs, waitMs * QUEUE_SHARE)
+    val served = (standing - STANDING_STARVED) / (STANDING_SERVED - STANDING_STARVED)
+    return AdmissionLimits(waitMs, waitMs * QUEUE_SHARE, served.coerceIn(LEAST_MISS_SHARE, 1.0))
 }
--- a/corneltrack-policy/src/test/kotlin/corneltrack/policy/placing/EnginePlacementTest.kt
+++ b/corneltrack-policy/src/test/kotlin/corneltrack/policy/placing/EnginePlacementTest.kt
@@ -42,6 +42,18 @@
         assertIs<PlacementDecision.Chosen>(place(limits.copy(generation = generation(3, 0, 6_000))))
     }
 
+    @Test
+    fun `a workspace far below its share may have a beginning read again where its home is full`() {
+        val home = chosen(limits).candidate
+        repeat(8) { home.load.onSent(generation(9, 0, 6_000), 6_000, 0) }
+        engines.filter { it.id != home.id }.forEach { it.load.onSent(generation(9, 0, 6_000), 6_000, 0) }
+        val starved = admissionLimits(1_000, 0, standing = 0.2)
+        val served = admissionLimits(1_000, 0, standing = 0.65)
+
+        assertIs<PlacementDecision.Chosen>(place(limits.copy(missShare = starved.missShare)))
+        assertIs<PlacementDecision.Refused>(place(limits.copy(missShare = served.missShare)))
+    }
+
     @Test
     fun `a request that no engine can start in time is refused at once with the time until one can`() {
         engines.forEach { engine -> repeat(10) { engine.load.onSent(generation(9, 0, 6_000), 6_000, 0) } }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TargetChooser.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TargetChooser.kt
@@ -132,7 +132,9 @@
             PlacementRequest(generation, left, left, left)
         } else {
             val limits = admissionLimits(call.route.objectiveMs, elapsedMs, standing)
-            PlacementRequest(generation, limits.waitMs, limits.queueMs, left, call.route.pauseLimitMs.toDouble())
+            val pauseLimitMs = call.route.pauseLimitMs.toDouble()
+            val missShare = if (shares.isContended(nowMs)) limits.missShare else 1.0
+            PlacementRequest(generation, limits.waitMs, limits.queueMs, left, pauseLimitMs, missShare)
         }
         val retentionMs = retentionMs(engine, beliefs.directory.of(call.pool.id).size)
         val endpoints = eligible.associateBy { it.entry.endpoint.id }
