Let routers of a large fleet take turns at cold endpoints, and split the following of topics

Cause: where all endpoints of a pool are cold, each router sends one request in 1.1 s to each; more than 20 routers could exceed what an endpoint bears (listed as open since it was found by reading).

Change: past that number the routers take turns by the time of day, half of the bound a turn.

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/belief/EndpointDirectory.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/belief/EndpointDirectory.kt
@@ -55,8 +55,8 @@
     /**
      * Takes in that the entry of [id] was removed or names no endpoint any more.
      *
-     * @param storeBackMs when the store last answered again after it had not, in ms of the steady clock, or null where it
-     *   always did.
+     * @param storeBackMs when the store last answered again after it had not, in ms of the steady clock, or null where
+     *   it always did.
      */
     public fun onRemoved(id: EndpointId, storeBackMs: Long?, nowMs: Long): DirectoryChange {
         val before = known[id]
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/belief/TopicWatermark.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/belief/TopicWatermark.kt
@@ -16,7 +16,8 @@
  * @property changed the offset after the last record that changed what it says; those after it are mere heartbeats.
  * @property ageMs how old the router's knowledge is.
  * @property asOfDayMs the time of day up to which it knows all records, in ms since the epoch.
- * @property storeBackAgeMs how long ago the store answered the router again after it had not, or null where it always did.
+ * @property storeBackAgeMs how long ago the store answered the router again after it had not, or null where it always
+ *   did.
  */
 @Serializable
 public data class TopicWatermark(
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/EnginePlacement.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/EnginePlacement.kt
@@ -130,7 +130,7 @@
     val options = candidates.withKeptTokens(request.generation, retentionMs, nowMs)
         .map { (candidate, kept) -> Option(candidate, request, kept, nowMs) }
     val best = options.filter { it.obstacle == null }.minByOrNull { it.score }
-    return best?.let { PlacementDecision.Chosen(it.candidate, it.waitMs, it.unread, it.missed) } ?: refusal(request, options)
+    return best?.chosen() ?: refusal(request, options)
 }
 
 private fun refusal(request: PlacementRequest, options: List<Option>): PlacementDecision.Refused {
@@ -161,6 +161,8 @@
     private val pauses =
         unread >= PAUSING_TOKENS && load.recentGapMs(nowMs) > request.pauseLimitMs * PAUSE_USED
 
+    fun chosen() = PlacementDecision.Chosen(candidate, waitMs, unread, missed)
+
     /** What keeps the engine from taking the request, or null. */
     val obstacle: PlacementObstacle? = when {
         !startsInTime -> PlacementObstacle.LATE_START
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/WorkspaceShares.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/WorkspaceShares.kt
@@ -79,7 +79,7 @@
         return if (level > 0) (all[workspace]?.granted ?: 0.0) / level else 0.0
     }
 
-    /** Returns whether more is asked than granted, so that a low standing means too little rather than no wish for more. */
+    /** Returns whether more is asked than granted, so that a low standing means too little, not no wish for more. */
     public fun isContended(nowMs: Long): Boolean {
         if (nowMs - levelMs >= LEVEL_PERIOD_MS) update(nowMs)
         return level.isFinite()
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointState.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointState.kt
@@ -40,9 +40,6 @@
         return EndpointState(known.entry.bornMs).also { states[id] = it }
     }
 
-    /** Returns the state of [id] where it is known. */
-    fun find(id: EndpointId): EndpointState? = states[id]
-
     /** Returns all states by endpoint. */
     fun all(): Map<EndpointId, EndpointState> = states
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
@@ -2,8 +2,7 @@
 
 import corneltrack.policy.Suspicion
 import corneltrack.policy.belief.BeliefClock
-import corneltrack.policy.belief.SuspensionWatch
-import corneltrack.policy.belief.TopicWatermark
+import corneltrack.policy.limits.ColdTurns
 import corneltrack.policy.placing.LoadSummary
 import corneltrack.policy.placing.WorkspaceRate
 import corneltrack.wire.HostAndPort
@@ -42,29 +41,32 @@
 internal val peerJson: Json = Json { ignoreUnknownKeys = true }
 
 /**
- * Finds the other routers in the store and exchanges loads with them, less often across regions.
+ * Holds what a router shares with its peers.
  *
- * Datagrams may be lost; each digest replaces the one before. What may have waited during a suspension of this machine
- * tells nothing of how fresh the store's records are. Only used on the event loop.
+ * @property followers what follows the store beside the list of routers.
+ */
+internal class SharedKnowledge(val load: FleetLoad, val followers: () -> List<TopicFollower>)
+
+/**
+ * Finds the other routers in the store and exchanges loads with them, less often across regions.
  *
- * @param beliefs what follows the store beside the list of routers.
+ * Datagrams may be lost; each digest replaces the one before. Only used on the event loop.
  */
 internal class PeerExchange(
     private val settings: RelaySettings,
     private val topic: KeyedTopic,
     private val loop: EventLoop,
     private val clock: BeliefClock,
-    private val load: FleetLoad,
-    private val beliefs: () -> List<TopicFollower>,
+    private val shared: SharedKnowledge,
     private val onSuspicion: (Suspicion) -> Unit,
 ) {
+    private val load = shared.load
     private val peers = PeerTable(settings)
-    private val follower = TopicFollower("peers", topic, PEER_PACE, loop, clock, ::rank, peers::onRecord)
-    private val suspensions = SuspensionWatch()
+    private val follower =
+        TopicFollower(FollowedTopic("peers", topic, PEER_PACE), loop, clock, ::rank, peers::onRecord)
+    private val watermarks = WatermarkExchange(clock) { shared.followers() + follower }
     private var channel: Channel? = null
     private var idleSent = false
-    private var watermarksSentMs = 0L
-    private var changes: Map<String, Long> = emptyMap()
     private var digests = 0L
 
     /** Starts to listen, announces this router and follows the announcements of others. */
@@ -98,23 +100,14 @@
     /** Returns how many live routers of the region read the store before this one. */
     fun rank(): Int = peers.rank(clock().steadyMs)
 
+    /** Returns whether it is this router's turn among all that are known; never before they are. */
+    fun isTurn(turns: ColdTurns): Boolean =
+        follower.asOf != null && turns.isDue(peers.position, peers.all.size + 1, clock().dayMs)
+
     private fun onTick() {
-        suspensions.settled(clock())
         sendDigest()
-        sendWatermarks()
-    }
-
-    /** Tells the region's routers how far this one knows the store, at once where that has changed. */
-    private fun sendWatermarks() {
-        val nowMs = clock().steadyMs
-        val watermarks = (beliefs() + follower).mapNotNull { topic -> topic.watermark()?.let { topic.name to it } }
-            .toMap()
-        val changed = watermarks.mapValues { it.value.changed }
-        val due = changed != changes || nowMs - watermarksSentMs >= WATERMARK_PERIOD_MS
-        if (watermarks.isEmpty() || !due) return
-        changes = changed
-        watermarksSentMs = nowMs
-        send(PeerDigest(settings.id.value, watermarks = watermarks), peers.near)
+        val due = watermarks.due()
+        if (due.isNotEmpty()) send(PeerDigest(settings.id.value, watermarks = due), peers.near)
     }
 
     private fun sendDigest() {
@@ -145,7 +138,7 @@
         val nowMs = clock().steadyMs
         peers.onHeard(peer, nowMs)
         digest.suspicions.forEach(onSuspicion)
-        if (suspensions.settled(clock())) digest.watermarks.forEach(::onWatermark)
+        watermarks.onPeer(digest.watermarks)
         if (digest.suspicions.isNotEmpty() || digest.watermarks.isNotEmpty()) return
         load.states.all().forEach { (id, state) ->
             state.engine.onPeer(peer, digest.endpoints[id.value]?.summary() ?: NOTHING, nowMs)
@@ -156,10 +149,6 @@
         load.shares.onPeer(peer, rates.toMap(), nowMs)
     }
 
-    private fun onWatermark(name: String, watermark: TopicWatermark) {
-        (beliefs() + follower).firstOrNull { it.name == name }?.onWatermark(watermark)
-    }
-
     private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
         override fun channelRead0(context: ChannelHandlerContext, packet: DatagramPacket) {
             val bytes = ByteBufUtil.getBytes(packet.content())
@@ -177,7 +166,6 @@
 
     private companion object {
         const val ANNOUNCE_RETRY_MS = 1_000L
-        const val WATERMARK_PERIOD_MS = 250L
         val NOTHING = LoadSummary(0, 0, 0)
     }
 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerTable.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerTable.kt
@@ -30,6 +30,9 @@
     /** All known routers but this one. */
     val all: Collection<PeerRecord> get() = peers.values
 
+    /** How many known routers come before this one by name. */
+    val position: Int get() = peers.keys.count { it.value < settings.id.value }
+
     /** The known routers of the region but this one. */
     val near: Collection<PeerRecord> get() = peers.values.filter { it.isNear() }
 
@@ -52,7 +55,7 @@
         )
     }
 
-    /** Takes in an announcement, or that one was taken back. Returns whether it tells anything, which it always does. */
+    /** Takes in an announcement, or that one was taken back. Returns true: either is a change. */
     fun onRecord(record: KeyedRecord): Boolean {
         val id = InstanceId(record.key)
         if (id == settings.id) return true
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/Relay.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/Relay.kt
@@ -13,7 +13,7 @@
 
 private const val LEAVING_RETRY_MS = 50L
 
-/** Long enough for a collection of garbage, a third of the shortest time after which callers give up unread requests. */
+/** Longer than a collection of garbage, far below the time after which callers give up unread requests. */
 private const val LONGEST_LAG_MS = 200L
 
 /** The next try of a caller reaches another router. */
@@ -40,15 +40,21 @@
     /** Handles one request and returns what cancels it. */
     fun handle(request: CallerRequest, sink: AnswerSink): () -> Unit {
         val facts = parts.dialect.readRequest(request.head)
-        if (closed) return refuse(facts, LEAVING, sink)
-        if (lag.lagMs(parts.nowMs()) > LONGEST_LAG_MS) return refuse(facts, OVERLOADED, sink)
-        val draw = ThreadLocalRandom.current().nextDouble()
-        return when (val admission = admitCall(facts, beliefs.table, beliefs.keysTooOld(), draw)) {
+        return when (val admission = admit(facts)) {
             is CallAdmission.Refused -> refuse(facts, admission.refusal, sink)
             is CallAdmission.Accepted -> accept(request, facts, admission, sink)
         }
     }
 
+    private fun admit(facts: CallerFacts): CallAdmission = when {
+        closed -> CallAdmission.Refused(LEAVING)
+        lag.lagMs(parts.nowMs()) > LONGEST_LAG_MS -> CallAdmission.Refused(OVERLOADED)
+        else -> {
+            val draw = ThreadLocalRandom.current().nextDouble()
+            admitCall(facts, beliefs.table, beliefs.keysTooOld(), draw)
+        }
+    }
+
     private fun refuse(facts: CallerFacts, refusal: Refusal, sink: AnswerSink): () -> Unit {
         parts.journal.refusedAtAdmission(facts, refusal)
         sink.refuse(refusal)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
@@ -53,14 +53,15 @@
     private val load = FleetLoad()
     private val beliefs = RoutingBeliefs(source, settings.bounds, loop, clock, { peers.rank() }, ::onTable)
     private val suspects = CrashSuspects(epochClock) { peers.share(it) }
+    private val shared = SharedKnowledge(load) { beliefs.followers }
     private val peers: PeerExchange =
-        PeerExchange(settings, source.peers, loop, clock, load, { beliefs.followers }, suspects::onPeer)
+        PeerExchange(settings, source.peers, loop, clock, shared, suspects::onPeer)
     private val metrics = RelayMetrics()
     private val parts = RelayParts(
         loop,
         dialect,
         EndpointConnections(CONNECT_TIMEOUT_MS, IDLE_LIMIT_MS) { _, _, _ -> },
-        TargetChooser(settings, beliefs, load),
+        TargetChooser(settings, beliefs, load) { peers.isTurn(it) },
         RelayJournal({ beliefs.table?.version }, { beliefs.endpointAgeMs() }),
         metrics,
         suspects,
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RoutingBeliefs.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RoutingBeliefs.kt
@@ -62,8 +62,10 @@
     rank: () -> Int,
     private val onTable: (RoutingTable) -> Unit,
 ) {
-    private val operator = TopicFollower("operator", source.operator, OPERATOR_PACE, loop, clock, rank, ::onOperator)
-    private val listing = TopicFollower("endpoints", source.endpoints, ENDPOINT_PACE, loop, clock, rank, ::onEndpoint)
+    private val operator =
+        TopicFollower(FollowedTopic("operator", source.operator, OPERATOR_PACE), loop, clock, rank, ::onOperator)
+    private val listing =
+        TopicFollower(FollowedTopic("endpoints", source.endpoints, ENDPOINT_PACE), loop, clock, rank, ::onEndpoint)
 
     /** What follows the store. */
     val followers: List<TopicFollower> get() = listOf(operator, listing)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TargetChooser.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TargetChooser.kt
@@ -1,6 +1,7 @@
 package corneltrack.router.relay
 
 import corneltrack.policy.belief.KnownEndpoint
+import corneltrack.policy.limits.ColdTurns
 import corneltrack.policy.placing.EngineCandidate
 import corneltrack.policy.placing.EngineRun
 import corneltrack.policy.placing.Generation
@@ -44,6 +45,15 @@
 private const val DEFAULT_RETENTION_MS = 15_000L
 private const val NO_ENDPOINT_RETRY_MS = 1_000L
 
+/**
+ * Says what is expected of one attempt.
+ *
+ * @property waitMs the time to the first event or to the answer, in ms.
+ * @property unreadTokens the tokens of the prompt that the engine has to read.
+ * @property missedTokens those of them that belong to shared parts.
+ */
+internal data class Expectation(val waitMs: Double, val unreadTokens: Int = 0, val missedTokens: Int = 0)
+
 /**
  * Holds the endpoint chosen for one attempt, with the load that it was charged.
  *
@@ -54,9 +64,7 @@
     val state: EndpointState,
     val run: EngineRun?,
     val distanceMs: Double,
-    val expectedMs: Double,
-    val unreadTokens: Int,
-    val missedTokens: Int,
+    val expected: Expectation,
 )
 
 /** Tells where an attempt goes. */
@@ -68,11 +76,16 @@
     data class Refused(val reason: String, val retryAfterMs: Long) : TargetDecision
 }
 
-/** Chooses the endpoint of each attempt among those that may serve the request and are believed to be well. */
+/**
+ * Chooses the endpoint of each attempt among those that may serve the request and are believed to be well.
+ *
+ * @param coldTurn whether this router may start a request at a cold endpoint now.
+ */
 internal class TargetChooser(
     private val settings: RelaySettings,
     private val beliefs: RoutingBeliefs,
     load: FleetLoad,
+    private val coldTurn: (ColdTurns) -> Boolean,
 ) {
     private val states = load.states
     private val shares = load.shares
@@ -108,7 +121,9 @@
 
     private fun bearsColdStart(pool: RoutedPool, known: KnownEndpoint, nowMs: Long): Boolean {
         if (pool.coldRequestsPerSecond <= 0) return true
-        return states.of(known).coldStarts.allows(1, nowMs)
+        val bounds = settings.bounds
+        val bound = (pool.coldRequestsPerSecond * bounds.coldBurstFactor + bounds.coldSlack).toInt()
+        return states.of(known).coldStarts.allows(1, nowMs) && coldTurn(ColdTurns(bound))
     }
 
     /** Returns the state of the chosen endpoint, after noting a start at it while it is cold. */
@@ -152,16 +167,10 @@
                 val state = started(known, nowMs)
                 val run = state.engine.onSent(generation, decision.unreadTokens, nowMs)
                 state.prefixes.onSent(generation.parts, nowMs, retentionMs)
+                val expected =
+                    Expectation(decision.expectedWaitMs, decision.unreadTokens, decision.missedTokens)
                 TargetDecision.Chosen(
-                    Target(
-                        known.entry.endpoint,
-                        state,
-                        run,
-                        decision.candidate.distanceMs,
-                        decision.expectedWaitMs,
-                        decision.unreadTokens,
-                        decision.missedTokens,
-                    ),
+                    Target(known.entry.endpoint, state, run, decision.candidate.distanceMs, expected),
                 )
             }
         }
@@ -181,7 +190,7 @@
                 state.service.onSent()
                 val distanceMs = decision.candidate.distanceMs
                 TargetDecision.Chosen(
-                    Target(known.entry.endpoint, state, null, distanceMs, decision.expectedMs, 0, 0),
+                    Target(known.entry.endpoint, state, null, distanceMs, Expectation(decision.expectedMs)),
                 )
             }
         }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicFollower.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicFollower.kt
@@ -25,6 +25,13 @@
  */
 internal data class ReadingPace(val waitMs: Long, val pauseMs: Long)
 
+/**
+ * Names a topic and how to read it.
+ *
+ * @property name names the topic in logs and among peers.
+ */
+internal data class FollowedTopic(val name: String, val topic: KeyedTopic, val pace: ReadingPace)
+
 /**
  * Follows a keyed topic: first its newest records, then each further one; from the start again where records expired.
  *
@@ -32,22 +39,20 @@
  * router or to a peer that sent its watermark. Only the first router of a region reads at [pace]; the others read where
  * a watermark tells of a change, or where none has come for too long.
  *
- * @property name names the topic in logs and among peers.
  * @param rank how many live routers of the region read before this one.
  * @param onRecord takes a record; a null value means that the key is gone. Returns whether it changed anything.
  */
 internal class TopicFollower(
-    val name: String,
-    private val topic: KeyedTopic,
-    private val pace: ReadingPace,
+    followed: FollowedTopic,
     private val loop: EventLoop,
     private val clock: BeliefClock,
     private val rank: () -> Int,
-    private val onRecord: (KeyedRecord) -> Boolean,
+    onRecord: (KeyedRecord) -> Boolean,
 ) {
-    private val offsets = HashMap<String, Long>()
-    private val watch = StoreWatch(name, clock)
-    private var changed = 0L
+    private val topic = followed.topic
+    private val pace = followed.pace
+    private val records = KnownRecords(onRecord)
+    private val watch = StoreWatch(followed.name, clock)
     private var behind = false
     private var reads = false
     private var idle = false
@@ -55,6 +60,9 @@
     private var end = 0L
     private var peerStoreBackMs: Long? = null
 
+    /** Names the topic in logs and among peers. */
+    val name: String = followed.name
+
     /** The latest moment up to which this router knows all records; null before the first. */
     var asOf: BeliefTime? = null
         private set
@@ -67,27 +75,31 @@
 
     /** Returns how far this router knows the topic, or null where it leaves the reading to a peer. */
     fun watermark(): TopicWatermark? {
-        val since = asOf ?: return null
-        if (!reads && rank() > 0) return null
+        val since = asOf?.takeIf { reads || rank() == 0 } ?: return null
         val now = clock()
         val backAgeMs = storeBackMs?.let { now.steadyMs - it }
-        return TopicWatermark(end, changed, now.since(since), since.dayMs, backAgeMs)
+        return TopicWatermark(end, records.changed, now.since(since), since.dayMs, backAgeMs)
     }
 
-    /** Takes in a peer's [watermark]. */
+    /** Takes in a peer's [watermark]; where it tells of a change, reads on at once or after the call under way. */
     fun onWatermark(watermark: TopicWatermark) {
         val current = asOf ?: return
         val now = clock()
         watermark.storeBackAgeMs?.let { peerStoreBackMs = maxOf(peerStoreBackMs ?: Long.MIN_VALUE, now.steadyMs - it) }
-        if (watermark.changed > end) {
-            behind = true
-            if (idle) catchUp(watermark.end)
-            return
-        }
         val offered = watermark.asOf(now)
-        if (now.since(offered) < now.since(current)) {
-            asOf = offered
-            reads = false
+        when {
+            watermark.changed > end -> {
+                behind = true
+                if (idle) {
+                    idle = false
+                    check?.cancel(false)
+                    if (watermark.end - end > LONGEST_CATCH_UP) start() else read(0)
+                }
+            }
+            now.since(offered) < now.since(current) -> {
+                asOf = offered
+                reads = false
+            }
         }
     }
 
@@ -109,7 +121,7 @@
         if (loading.resumeAt == null) loading.resumeAt = page.end
         page.records.forEach {
             loading.seen += it.key
-            accept(it)
+            records.accept(it)
         }
         val next = page.next
         if (next != null) {
@@ -117,8 +129,7 @@
             return
         }
         val resumeAt = loading.resumeAt ?: page.end
-        offsets.filter { (key, offset) -> key !in loading.seen && offset < resumeAt }.keys.toList()
-            .forEach { accept(KeyedRecord(it, null, resumeAt - 1)) }
+        records.retain(loading.seen, resumeAt)
         end = resumeAt
         asOf = loading.startedAt
         read(pace.waitMs)
@@ -141,7 +152,7 @@
 
     private fun onRecords(page: TopicReply.Records, sentAt: BeliefTime, waitMs: Long) {
         watch.onAnswer()
-        page.records.forEach(::accept)
+        page.records.forEach(records::accept)
         end = page.next
         if (end < page.end) {
             read(waitMs)
@@ -157,7 +168,7 @@
     private fun readOnLater() {
         if (rank() == 0) {
             reads = true
-            after(pace.pauseMs) { read(pace.waitMs) }
+            loop.after(pace.pauseMs) { read(pace.waitMs) }
         } else {
             idle = true
             check = loop.schedule(::checkPatience, CHECK_MS, TimeUnit.MILLISECONDS)
@@ -172,26 +183,12 @@
         if (lapsed || behind) read(0) else readOnLater()
     }
 
-    /** Catches up with a peer that knows the topic up to [peerEnd]. */
-    private fun catchUp(peerEnd: Long) {
-        idle = false
-        check?.cancel(false)
-        if (peerEnd - end > LONGEST_CATCH_UP) start() else read(0)
-    }
-
-    private fun accept(record: KeyedRecord) {
-        val last = offsets[record.key]
-        if (last != null && record.offset <= last) return
-        if (record.value == null) offsets.remove(record.key) else offsets[record.key] = record.offset
-        if (onRecord(record)) changed = maxOf(changed, record.offset + 1)
-    }
-
     private fun onFailure(reply: TopicReply, retry: () -> Unit) {
         val reason = (reply as? TopicReply.Unavailable)?.reason ?: "unexpected answer"
-        after(watch.onFailure(reason, asOf?.let { clock().since(it) }), retry)
+        loop.after(watch.onFailure(reason, asOf?.let { clock().since(it) }), retry)
     }
+}
 
-    private fun after(delayMs: Long, action: () -> Unit) {
-        loop.schedule(action, delayMs, TimeUnit.MILLISECONDS)
-    }
+private fun EventLoop.after(delayMs: Long, action: () -> Unit) {
+    schedule(action, delayMs, TimeUnit.MILLISECONDS)
 }
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/TopicFollowerTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/TopicFollowerTest.kt
@@ -144,9 +144,7 @@
     private fun follower(rank: () -> Int): TopicFollower {
         lateinit var follower: TopicFollower
         follower = TopicFollower(
-            "endpoints",
-            store.topic { follower },
-            ReadingPace(waitMs = 0, pauseMs = PAUSE_MS),
+            FollowedTopic("endpoints", store.topic { follower }, ReadingPace(waitMs = 0, pauseMs = PAUSE_MS)),
             channel.eventLoop(),
             { BeliefTime(nowMs, nowMs) },
             rank,
