--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/Quarantine.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/Quarantine.kt
@@ -27,6 +27,9 @@
 public class Quarantine(private val retentionMs: Long) {
     private val suspicions = HashMap<String, MutableMap<EndpointId, Suspicion>>()
 
+    /** Whether nothing is suspected. */
+    public val isEmpty: Boolean get() = suspicions.isEmpty()
+
     /** Takes in a suspicion of this router or another. Returns whether its fingerprint is quarantined now. */
     public fun onSuspicion(suspicion: Suspicion, nowMs: Long): Boolean {
         forget(nowMs)
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/logging/ConsoleLogging.kt
@@ -0,0 +1,71 @@
+package corneltrack.router.logging
+
+import org.apache.logging.log4j.Level
+import org.apache.logging.log4j.core.LogEvent
+import org.apache.logging.log4j.core.LoggerContext
+import org.apache.logging.log4j.core.appender.AsyncAppender
+import org.apache.logging.log4j.core.appender.ConsoleAppender
+import org.apache.logging.log4j.core.config.AbstractConfiguration
+import org.apache.logging.log4j.core.config.AppenderRef
+import org.apache.logging.log4j.core.config.Configuration
+import org.apache.logging.log4j.core.config.ConfigurationFactory
+import org.apache.logging.log4j.core.config.ConfigurationSource
+import org.apache.logging.log4j.core.layout.AbstractStringLayout
+import java.net.URI
+import java.time.Instant
+import java.time.ZoneOffset
+import java.time.format.DateTimeFormatter
+
+private const val LEVEL_VARIABLE = "CORNELTRACK_LOG_LEVEL"
+private const val CONSOLE = "console"
+private const val BOUNDED = "bounded"
+
+/** The lines that wait for a reader of standard output; further ones are dropped. */
+private const val BUFFERED_LINES = 1_024
+
+/**
+ * Configures logging to standard output without blocking: lines past a bounded buffer are dropped.
+ *
+ * Named in `log4j2.component.properties`. Built in code, since reading a configuration file takes as long as the rest
+ * of a router's start. The variable `CORNELTRACK_LOG_LEVEL` sets the lowest level, INFO by default.
+ */
+public class ConsoleLogging : ConfigurationFactory() {
+    override fun getSupportedTypes(): Array<String> = arrayOf("*")
+
+    override fun getConfiguration(context: LoggerContext?, source: ConfigurationSource?): Configuration =
+        ConsoleConfiguration(context)
+
+    override fun getConfiguration(context: LoggerContext?, name: String?, location: URI?): Configuration =
+        ConsoleConfiguration(context)
+}
+
+private class ConsoleConfiguration(context: LoggerContext?) :
+    AbstractConfiguration(context, ConfigurationSource.NULL_SOURCE) {
+    override fun setup() {
+        isShutdownHookEnabled = false
+        val console = ConsoleAppender.newBuilder().setName(CONSOLE).setTarget(ConsoleAppender.Target.SYSTEM_OUT)
+            .setDirect(true).setImmediateFlush(false).setLayout(LineLayout()).build()
+        addAppender(console)
+        val bounded = AsyncAppender.newBuilder().setName(BOUNDED).setBufferSize(BUFFERED_LINES).setBlocking(false)
+            .setAppenderRefs(arrayOf(AppenderRef.createAppenderRef(CONSOLE, null, null))).setConfiguration(this).build()
+        addAppender(bounded)
+        getRootLogger().addAppender(bounded, null, null)
+        getRootLogger().level = Level.toLevel(System.getenv(LEVEL_VARIABLE), Level.INFO)
+    }
+
+    override fun doConfigure(): Unit = Unit
+}
+
+/** Writes the time, level and logger of an event before its own fields. */
+private class LineLayout : AbstractStringLayout(Charsets.UTF_8) {
+    override fun toSerializable(event: LogEvent): String {
+        val at = TIME.format(Instant.ofEpochMilli(event.timeMillis))
+        val logger = event.loggerName.substringAfterLast('.')
+        return "time=$at level=${event.level} logger=$logger ${event.message.formattedMessage}\n"
+    }
+
+    private companion object {
+        val TIME: DateTimeFormatter = DateTimeFormatter.ofPattern("yyyy-MM-dd'T'HH:mm:ss.SSS'Z'")
+            .withZone(ZoneOffset.UTC)
+    }
+}
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CrashSuspects.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CrashSuspects.kt
@@ -36,8 +36,9 @@
     /** Takes in a suspicion of a peer. */
     fun onPeer(suspicion: Suspicion): Unit = accept(suspicion, epochMs())
 
-    /** Returns whether a request with [fingerprint] must not run. */
-    fun isQuarantined(fingerprint: String): Boolean = quarantine.isQuarantined(fingerprint, epochMs())
+    /** Returns whether [call] must not run. */
+    fun isQuarantined(call: RelayedCall): Boolean =
+        !quarantine.isEmpty && quarantine.isQuarantined(call.fingerprint, epochMs())
 
     private fun accept(suspicion: Suspicion, nowMs: Long) {
         if (quarantine.onSuspicion(suspicion, nowMs)) {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/Relay.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/Relay.kt
@@ -6,7 +6,6 @@
 import corneltrack.router.callers.CallerAnswer
 import corneltrack.router.callers.CallerRequest
 import corneltrack.router.callers.Refusal
-import corneltrack.router.digest
 import corneltrack.world.RegionId
 import io.netty.handler.codec.http.HttpResponseStatus
 import java.util.concurrent.ThreadLocalRandom
@@ -24,7 +23,6 @@
 private const val QUARANTINE_RETRY_MS = 10_000L
 private const val FRESH_SHARE = 0.85
 private const val UNNAMED = "-"
-private const val FINGERPRINT_LENGTH = 16
 private val NOWHERE = RegionId("")
 
 /** Takes callers' requests in and starts their runs, or answers them at once. Only used on the event loop. */
@@ -77,7 +75,7 @@
         sink: AnswerSink,
     ): () -> Unit {
         val call = call(request, facts, admission, sink)
-        if (parts.suspects.isQuarantined(call.fingerprint)) return refuse(facts, QUARANTINED, sink)
+        if (parts.suspects.isQuarantined(call)) return refuse(facts, QUARANTINED, sink)
         val nowMs = parts.nowMs()
         parts.onRequest(call.pool.id)
         val workspace = call.workspace
@@ -99,7 +97,6 @@
         sink: AnswerSink,
     ): RelayedCall {
         val head = request.head
-        val caller = "${admission.workspaceId?.value} ${head.method()} ${head.uri()}"
         return RelayedCall(
             id = facts.requestId ?: UNNAMED,
             requestId = facts.requestId,
@@ -107,7 +104,6 @@
             route = admission.route,
             pool = admission.pool,
             generation = facts.generation,
-            fingerprint = digest(caller.toByteArray(), request.body).take(FINGERPRINT_LENGTH),
             times = times(facts, admission),
             message = CallerMessage(head.method(), head.uri(), head.headers(), request.body),
             sink = sink,
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayedCall.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayedCall.kt
@@ -2,6 +2,7 @@
 
 import corneltrack.policy.placing.Generation
 import corneltrack.router.callers.AnswerSink
+import corneltrack.router.digest
 import corneltrack.world.EndpointId
 import corneltrack.world.WorkspaceId
 import corneltrack.world.routing.Route
@@ -9,8 +10,16 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 
+private const val FINGERPRINT_LENGTH = 16
+
 /** Holds a caller's request as it came: what every attempt sends on. */
-internal class CallerMessage(val method: HttpMethod, val uri: String, val headers: HttpHeaders, val body: ByteArray)
+internal class CallerMessage(val method: HttpMethod, val uri: String, val headers: HttpHeaders, val body: ByteArray) {
+    /** Returns a name of what [workspace] asked for here, the same for each repeat. Hashes the body. */
+    fun fingerprint(workspace: WorkspaceId?): String {
+        val caller = "${workspace?.value} $method $uri"
+        return digest(caller.toByteArray(), body).take(FINGERPRINT_LENGTH)
+    }
+}
 
 /**
  * Bounds one request in time, in ms of the steady clock.
@@ -30,11 +39,13 @@
     val route: Route,
     val pool: RoutedPool,
     val generation: Generation?,
-    val fingerprint: String,
     val times: CallTimes,
     val message: CallerMessage,
     val sink: AnswerSink,
 ) {
+    /** Names what the caller asked for; only reckoned where a request is suspected. */
+    val fingerprint: String by lazy(LazyThreadSafetyMode.NONE) { message.fingerprint(workspace) }
+
     /** The endpoints that failed this request or could not be reached. */
     val tried: MutableSet<EndpointId> = HashSet()
 
--- a/corneltrack-wire/src/main/kotlin/corneltrack/wire/LogEvent.kt
+++ b/corneltrack-wire/src/main/kotlin/corneltrack/wire/LogEvent.kt
@@ -3,7 +3,7 @@
 import org.apache.logging.log4j.Level
 import org.apache.logging.log4j.Logger
 
-private val PLAIN = Regex("[A-Za-z0-9_.:/@+-]+")
+private const val PLAIN_MARKS = "_.:/@+-"
 private const val FIRST_PRINTABLE = ' '
 private const val LAST_ASCII = '~'
 
@@ -28,7 +28,10 @@
 
 /** Returns [value] in a form that can neither end the field nor the line that it stands in. */
 public fun escapeLogValue(value: String): String =
-    if (PLAIN.matches(value)) value else value.map(::escaped).joinToString("", "\"", "\"")
+    if (value.isNotEmpty() && value.all(::isPlain)) value else value.map(::escaped).joinToString("", "\"", "\"")
+
+private fun isPlain(character: Char): Boolean =
+    character in 'a'..'z' || character in '0'..'9' || character in 'A'..'Z' || character in PLAIN_MARKS
 
 private fun escaped(character: Char): String = when {
     character == '"' || character == '\\' -> "\\$character"
