Bound what an endpoint in trouble may send, and hear of endpoints listed again

Cause: an endpoint may send bytes that are no answer until its caller closes.

Change: interim answers, stray answers, events and unused bodies have bounds; a refusal counts as not run once its head said so. Status lines, heads, trailers and idle connections were bounded already.

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/belief/EndpointDirectory.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/belief/EndpointDirectory.kt
@@ -15,7 +15,7 @@
 public data class KnownEndpoint(val entry: EndpointEntry, val coldUntilMs: Long, val lapsesMs: Long? = null)
 
 /** Tells what an announcement changed. */
-public enum class DirectoryChange { NONE, ADDED, REPLACED, LEAVING, COLD, LAPSING, REMOVED }
+public enum class DirectoryChange { NONE, ADDED, REPLACED, LEAVING, COLD, LAPSING, LISTED_AGAIN, REMOVED }
 
 /**
  * Keeps the endpoints that the platform lists.
@@ -88,6 +88,7 @@
         before.entry.endpoint.address != entry.endpoint.address || before.entry.bornMs != entry.bornMs ->
             DirectoryChange.REPLACED
         before.entry.live && !entry.live -> DirectoryChange.LEAVING
+        before.lapsesMs != null -> DirectoryChange.LISTED_AGAIN
         entry.coldMs > 0 && before.coldUntilMs <= nowMs -> DirectoryChange.COLD
         else -> DirectoryChange.NONE
     }
--- a/corneltrack-policy/src/test/kotlin/corneltrack/policy/belief/EndpointDirectoryTest.kt
+++ b/corneltrack-policy/src/test/kotlin/corneltrack/policy/belief/EndpointDirectoryTest.kt
@@ -76,6 +76,15 @@
         assertEquals(emptyList(), directory.expire(10_000))
     }
 
+    @Test
+    fun `an endpoint that is listed again after it lapsed is a change that peers must hear of`() {
+        directory.onEntry(entry(sequence = 1), 0)
+        directory.onRemoved(id, storeBackMs = 100, 100)
+
+        assertEquals(DirectoryChange.LISTED_AGAIN, directory.onEntry(entry(sequence = 2), 1_000))
+        assertEquals(DirectoryChange.NONE, directory.onEntry(entry(sequence = 3), 2_000))
+    }
+
     @Test
     fun `an endpoint that was leaving gets no grace`() {
         directory.onEntry(entry(sequence = 1, state = MemberState.LEAVING), 0)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/AnswerDelivery.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/AnswerDelivery.kt
@@ -8,8 +8,8 @@
 
 /** Takes the body of one endpoint's answer on its way to the caller. */
 internal interface AnswerDelivery : AutoCloseable {
-    /** Takes a piece of the body; does not release it. */
-    fun onContent(data: ByteBuf)
+    /** Takes a piece of the body; does not release it. Returns false where the body cannot be an answer. */
+    fun onContent(data: ByteBuf): Boolean
 
     /** Sends on what is left of a complete answer, and its end. */
     fun deliver()
@@ -31,7 +31,10 @@
     private val events = EventSplitter()
     private val resumesAfter = call.lastEvent?.toLongOrNull()
 
-    override fun onContent(data: ByteBuf) = events.feed(data).forEach(::pass)
+    override fun onContent(data: ByteBuf): Boolean {
+        events.feed(data).forEach(::pass)
+        return !events.overlong
+    }
 
     override fun deliver() {
         call.deliverHead(head)
@@ -66,9 +69,10 @@
 internal class WholeDelivery(private val call: RelayedCall, private val head: HttpResponse) : AnswerDelivery {
     private val body: ByteBuf = Unpooled.buffer(0)
 
-    override fun onContent(data: ByteBuf) {
+    override fun onContent(data: ByteBuf): Boolean {
         body.writeBytes(data, data.readerIndex(), data.readableBytes())
         if (call.delivered || body.readableBytes() > BUFFER_LIMIT_BYTES) sendBody()
+        return true
     }
 
     override fun deliver() {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointAttempt.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointAttempt.kt
@@ -19,6 +19,9 @@
 /** Shorter than any idle timeout that an endpoint can state, since a request that is cut off cannot be sent again. */
 private const val AT_MOST_ONCE_REUSE_MS = 500L
 
+/** The most bytes of a body that reaches nobody, as after a refusal, before the connection is given up. */
+private const val MOST_UNUSED_BYTES = 64 * 1024
+
 /** Learns what became of an attempt; exactly one of these is called, once. */
 internal interface AttemptOwner {
     /** The answer of [attempt] is complete and can be delivered to the caller. */
@@ -73,6 +76,8 @@
     fun onWritable(writable: Boolean) = exchange.onWritable(writable)
 
     private inner class Listener : ExchangeListener {
+        private var unusedBytes = 0
+
         override fun onConnected(reused: Boolean): DefaultFullHttpRequest? {
             if (call.over) return null
             this@EndpointAttempt.reused = reused
@@ -100,8 +105,12 @@
         }
 
         override fun onContent(data: ByteBuf) {
-            delivery?.onContent(data)
-            exchange.onWritable(call.sink.writable)
+            val current = delivery
+            when {
+                current == null -> onUnused(data.readableBytes())
+                !current.onContent(data) -> onBroken("an event without an end")
+                else -> exchange.onWritable(call.sink.writable)
+            }
         }
 
         override fun onEnd() {
@@ -125,6 +134,14 @@
             fail(if (reused) null else EndpointSign.FAILED, RelayEnd.Broken(reason, call.delivered))
         }
 
+        /** What the head said holds, however much follows it. */
+        private fun onUnused(bytes: Int) {
+            unusedBytes += bytes
+            if (unusedBytes <= MOST_UNUSED_BYTES) return
+            exchange.cancel()
+            onEnd()
+        }
+
         private fun onSuccess() {
             if (call.route.form == AnswerForm.WHOLE) target.state.service.onAnswer(timing.workMs(parts.nowMs()))
             parts.onSign(target, EndpointSign.GOOD)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointExchange.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointExchange.kt
@@ -18,6 +18,10 @@
 import io.netty.util.ReferenceCountUtil
 
 private const val MOST_STRAY_ANSWERS = 3
+private const val MOST_INTERIM_ANSWERS = 3
+
+/** The most bytes of answers to other requests before the connection is given up. */
+private const val MOST_STRAY_BYTES = 1024 * 1024
 
 /** Receives what becomes of one exchange, on the event loop. Nothing follows [onEnd] or [onBroken]. */
 internal interface ExchangeListener {
@@ -114,6 +118,8 @@
         private var keepAlive = false
         private var stray = false
         private var strays = 0
+        private var strayBytes = 0
+        private var interim = 0
         private var headSeen = false
 
         override fun channelRead(context: ChannelHandlerContext, message: Any) {
@@ -133,12 +139,21 @@
 
         private fun onHead(head: HttpResponse) {
             if (head.decoderResult().isFailure) return breakOff("unreadable answer")
-            if (head.status().code() == HttpResponseStatus.CONTINUE.code()) return
+            if (head.status().code() == HttpResponseStatus.CONTINUE.code()) return onInterim()
             val facts = dialect.readAnswer(head)
             stray = facts.requestId != null && requestId != null && facts.requestId != requestId
             if (stray) onStray() else onOwnHead(head, facts)
         }
 
+        private fun onInterim() {
+            if (++interim > MOST_INTERIM_ANSWERS) breakOff("interim answers without end")
+        }
+
+        private fun onStrayContent(bytes: Int) {
+            strayBytes += bytes
+            if (strayBytes > MOST_STRAY_BYTES) breakOff("an answer to another request without end")
+        }
+
         private fun onStray() {
             if (++strays > MOST_STRAY_ANSWERS) breakOff("answers to other requests")
         }
@@ -158,6 +173,7 @@
                 breakOff("unreadable answer")
                 return
             }
+            if (stray) onStrayContent(content.content().readableBytes())
             if (stray || !headSeen) return
             if (content.content().isReadable) listener.onContent(content.content())
             if (!over && content is LastHttpContent) onLast(context)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EventSplitter.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EventSplitter.kt
@@ -7,6 +7,9 @@
 private const val CARRIAGE_RETURN = '\r'.code.toByte()
 private const val ID_FIELD = "id:"
 
+/** Longer than any event of a sound stream; bounds the memory that an event without an end takes. */
+private const val LONGEST_EVENT_BYTES = 1024 * 1024
+
 /**
  * Holds one complete event of a stream with the blank line that ends it.
  *
@@ -21,6 +24,9 @@
     /** Whether the stream stands in the middle of an event. */
     val midEvent: Boolean get() = pending.isReadable
 
+    /** Whether the event under way is longer than any of a sound stream. */
+    val overlong: Boolean get() = pending.readableBytes() > LONGEST_EVENT_BYTES
+
     /** Takes in [data] and returns the events that it completes. Does not release [data]. */
     fun feed(data: ByteBuf): List<StreamEvent> {
         pending.writeBytes(data, data.readerIndex(), data.readableBytes())
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
@@ -4,12 +4,10 @@
 import corneltrack.policy.belief.BeliefClock
 import corneltrack.policy.limits.ColdTurns
 import corneltrack.policy.placing.LoadSummary
-import corneltrack.policy.placing.WorkspaceRate
 import corneltrack.wire.HostAndPort
 import corneltrack.wire.event
 import corneltrack.wire.wireProtobuf
 import corneltrack.world.InstanceId
-import corneltrack.world.WorkspaceId
 import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.ByteBufUtil
 import io.netty.buffer.Unpooled
@@ -68,6 +66,7 @@
     private var channel: Channel? = null
     private var idleSent = false
     private var digests = 0L
+    private val loads = PeerLoads(load)
 
     /** Starts to listen, announces this router and follows the announcements of others. */
     fun start() {
@@ -140,13 +139,7 @@
         digest.suspicions.forEach(onSuspicion)
         watermarks.onPeer(digest.watermarks)
         if (digest.suspicions.isNotEmpty() || digest.watermarks.isNotEmpty()) return
-        load.states.all().forEach { (id, state) ->
-            state.engine.onPeer(peer, digest.endpoints[id.value]?.summary() ?: NOTHING, nowMs)
-        }
-        val rates = digest.workspaces.map { (id, rate) ->
-            WorkspaceId(id) to WorkspaceRate(rate.asked.toDouble(), rate.granted.toDouble())
-        }
-        load.shares.onPeer(peer, rates.toMap(), nowMs)
+        loads.onDigest(peer, digest, nowMs)
     }
 
     private inner class Receiver : SimpleChannelInboundHandler<DatagramPacket>() {
@@ -166,10 +159,7 @@
 
     private companion object {
         const val ANNOUNCE_RETRY_MS = 1_000L
-        val NOTHING = LoadSummary(0, 0, 0)
     }
 }
 
 private fun LoadSummary.digest() = EndpointDigest(unreadTokens, running, memoryTokens)
-
-private fun EndpointDigest.summary() = LoadSummary(unread, running, memory)
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerLoads.kt
@@ -0,0 +1,40 @@
+package corneltrack.router.relay
+
+import corneltrack.policy.placing.LoadSummary
+import corneltrack.policy.placing.WorkspaceRate
+import corneltrack.world.EndpointId
+import corneltrack.world.InstanceId
+import corneltrack.world.WorkspaceId
+
+private val NOTHING = LoadSummary(0, 0, 0)
+
+/**
+ * Takes peers' digests into what this router believes of the fleet's load.
+ *
+ * Answers fleets in which each router hears many peers a second, each of which uses few endpoints: only endpoints that
+ * a digest names, or that the peer's digest before named, are looked at. Not thread-safe.
+ */
+internal class PeerLoads(private val load: FleetLoad) {
+    private val named = HashMap<InstanceId, Set<String>>()
+
+    /** Takes in what [peer] has under way and what its workspaces ask for. */
+    fun onDigest(peer: InstanceId, digest: PeerDigest, nowMs: Long) {
+        onEndpoints(peer, digest.endpoints, nowMs)
+        val rates = digest.workspaces.map { (id, rate) ->
+            WorkspaceId(id) to WorkspaceRate(rate.asked.toDouble(), rate.granted.toDouble())
+        }
+        load.shares.onPeer(peer, rates.toMap(), nowMs)
+    }
+
+    private fun onEndpoints(peer: InstanceId, endpoints: Map<String, EndpointDigest>, nowMs: Long) {
+        val before = named.put(peer, endpoints.keys).orEmpty()
+        before.forEach { id -> if (id !in endpoints) apply(peer, id, NOTHING, nowMs) }
+        endpoints.forEach { (id, digest) -> apply(peer, id, digest.summary(), nowMs) }
+    }
+
+    private fun apply(peer: InstanceId, endpoint: String, summary: LoadSummary, nowMs: Long) {
+        load.states.all()[EndpointId(endpoint)]?.engine?.onPeer(peer, summary, nowMs)
+    }
+}
+
+private fun EndpointDigest.summary() = LoadSummary(unread, running, memory)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
@@ -28,7 +28,7 @@
 private const val METRICS_PATH = "/metrics"
 private const val METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8"
 private const val TICK_MS = 250L
-private const val LAG_TICK_MS = 50L
+private const val LAG_TICK_MS = 100L
 private const val OUT_OF_ROTATION_MS = 2_600L
 private const val DRAIN_POLL_MS = 50L
 private const val DEFAULT_HEAD_BYTES = 16_384
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicFollower.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicFollower.kt
@@ -10,7 +10,7 @@
 import java.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
 
-/** How often a router that leaves the reading to a peer looks whether it has to read, in ms. */
+/** The shortest time between two looks of a router that leaves the reading to a peer, in ms. */
 private const val CHECK_MS = 100L
 
 /** The records past which reading the newest ones of all keys costs less than reading each. */
@@ -59,6 +59,7 @@
     private var check: ScheduledFuture<*>? = null
     private var end = 0L
     private var peerStoreBackMs: Long? = null
+    private val ageMs: Long get() = asOf?.let { clock().since(it) } ?: Long.MAX_VALUE
 
     /** Names the topic in logs and among peers. */
     val name: String = followed.name
@@ -171,13 +172,14 @@
             loop.after(pace.pauseMs) { read(pace.waitMs) }
         } else {
             idle = true
-            check = loop.schedule(::checkPatience, CHECK_MS, TimeUnit.MILLISECONDS)
+            // Nothing falls to this router before, whichever peers go.
+            val dueMs = readingPatienceMs(pace.waitMs + pace.pauseMs, rank = 0) - ageMs
+            check = loop.schedule(::checkPatience, maxOf(CHECK_MS, dueMs), TimeUnit.MILLISECONDS)
         }
     }
 
     private fun checkPatience() {
         idle = false
-        val ageMs = asOf?.let { clock().since(it) } ?: Long.MAX_VALUE
         val lapsed = ageMs >= readingPatienceMs(pace.waitMs + pace.pauseMs, rank())
         if (lapsed) reads = true
         if (lapsed || behind) read(0) else readOnLater()
--- /dev/null
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/PeerLoadsTest.kt
@@ -0,0 +1,47 @@
+package corneltrack.router.relay
+
+import corneltrack.policy.belief.KnownEndpoint
+import corneltrack.policy.placing.LoadSummary
+import corneltrack.world.DataCentreId
+import corneltrack.world.Endpoint
+import corneltrack.world.EndpointId
+import corneltrack.world.InstanceId
+import corneltrack.world.MemberState
+import corneltrack.world.PoolId
+import corneltrack.world.routing.EndpointEntry
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+class PeerLoadsTest {
+    private val load = FleetLoad()
+    private val loads = PeerLoads(load)
+    private val engines = listOf("a", "b").associateWith { load.states.of(known(it)).engine }
+
+    @Test
+    fun `an endpoint that a peer no longer names has nothing of that peer under way`() {
+        digest("one", "a" to 100L, "b" to 10L)
+        digest("two", "a" to 7L)
+
+        digest("one", "b" to 20L)
+
+        assertEquals(LoadSummary(7, 1, 0), engines.getValue("a").total(0))
+        assertEquals(LoadSummary(20, 1, 0), engines.getValue("b").total(0))
+    }
+
+    @Test
+    fun `an endpoint that is not known yet is passed over`() {
+        digest("one", "stranger" to 100L, "a" to 1L)
+
+        assertEquals(LoadSummary(1, 1, 0), engines.getValue("a").total(0))
+    }
+
+    private fun digest(peer: String, vararg unread: Pair<String, Long>) {
+        val endpoints = unread.associate { (endpoint, tokens) -> endpoint to EndpointDigest(tokens, 1, 0) }
+        loads.onDigest(InstanceId(peer), PeerDigest(peer, endpoints), nowMs = 0)
+    }
+
+    private fun known(name: String): KnownEndpoint {
+        val endpoint = Endpoint(EndpointId(name), PoolId("pool"), DataCentreId("here"), "127.0.0.1:1", MemberState.LIVE)
+        return KnownEndpoint(EndpointEntry(endpoint, 1, 1, places = 4, coldMs = 0), Long.MIN_VALUE)
+    }
+}
