--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/Relay.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/Relay.kt
@@ -15,9 +15,12 @@
 /** Longer than a collection of garbage, far below the time after which callers give up unread requests. */
 private const val LONGEST_LAG_MS = 200L
 
-/** The first requests of a process are slow, since they load its classes. */
+/** The first requests of a process are slow, since they load its classes; it is not overloaded by them. */
 private const val WARM_UP_REQUESTS = 100
 
+/** What waited longer than this has mostly been given up by its caller, whatever the reason. */
+private const val LONGEST_WARM_UP_LAG_MS = 600L
+
 /** The next try of a caller reaches another router. */
 private const val OVERLOADED_RETRY_MS = 100L
 private const val QUARANTINE_RETRY_MS = 10_000L
@@ -59,7 +62,8 @@
 
     private fun isOverloaded(): Boolean {
         if (warmUp > 0) warmUp--
-        return warmUp == 0 && lag.lagMs(parts.nowMs()) > LONGEST_LAG_MS
+        val limitMs = if (warmUp > 0) LONGEST_WARM_UP_LAG_MS else LONGEST_LAG_MS
+        return lag.lagMs(parts.nowMs()) > limitMs
     }
 
     private fun refuse(facts: CallerFacts, refusal: Refusal, sink: AnswerSink): () -> Unit {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
@@ -85,6 +85,7 @@
 
     /** Starts to listen and to follow the store. Fails where an address is taken. */
     public fun start(): RelayRouter {
+        lag.onTick(monotonicClock())
         readiness.start(settings.readiness)
         callers.start(settings.callers)
         peers.start()
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayFixture.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayFixture.kt
@@ -97,9 +97,9 @@
     /** Lets the store fall silent or answer again. */
     fun silence(silent: Boolean) = listOf(operator, endpoints, peers).forEach { it.silent = silent }
 
-    /** Keeps the router's event loop busy but for short pauses while [action] runs. */
-    fun overload(action: () -> Unit) {
-        val busyNs = TimeUnit.MILLISECONDS.toNanos(BUSY_MS)
+    /** Keeps the router's event loop busy for [busyMs] at a time, but for short pauses, while [action] runs. */
+    fun overload(busyMs: Long = BUSY_MS, action: () -> Unit) {
+        val busyNs = TimeUnit.MILLISECONDS.toNanos(busyMs)
         val work = group.next().scheduleWithFixedDelay({
             val untilNs = System.nanoTime() + busyNs
             while (System.nanoTime() < untilNs) Thread.onSpinWait()
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayRouterTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayRouterTest.kt
@@ -48,6 +48,18 @@
         assertTrue(endpoint.requests.size > sent)
     }
 
+    @Test
+    fun `a router that has just started refuses what waited longer than callers do`() {
+        val endpoint = fixture.endpoint("a", "services") { request, socket -> socket.send(signed(request, "done")) }
+        fixture.start()
+
+        fixture.overload(busyMs = 1_500) {
+            await("a refusal") { "router_overloaded" in fixture.call("/once/x") }
+        }
+
+        assertTrue(endpoint.requests.size < 10, "found ${endpoint.requests.size} requests sent on")
+    }
+
     @Test
     fun `a request that may run once is not repeated when its connection breaks`() {
         val breaking = { _: ReadRequest, socket: Socket -> socket.reset() }
