Let another endpoint go on with a stream that stalls

Cause: a stream whose endpoint fell silent, or sent single bytes now and then, held its caller until the caller left or the route's time was over; only a broken connection was followed by a resumption.

Change: a stream that may be resumed counts as stalled after four pauses at its route's limit without a whole event, and goes on elsewhere where route and retry allowance have room for it; otherwise it is left alone. A caller that does not read holds up its own stream. StalledStreamTest plays a trickling engine (timed out before) and a slow, sound one.

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/limits/RelayDecision.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/limits/RelayDecision.kt
@@ -15,6 +15,13 @@
      */
     public data class Failed(val status: Int, val delivered: Boolean = false) : RelayEnd
 
+    /**
+     * The endpoint sent no event for too long.
+     *
+     * @property delivered whether the caller has seen a part of the answer.
+     */
+    public data class Stalled(val delivered: Boolean) : RelayEnd
+
     /**
      * The connection broke, or what came is no answer to this request.
      *
@@ -78,14 +85,15 @@
             request.repeatable && mayRepeat() -> RelayStep.SendAgain
             else -> RelayStep.Deliver
         }
-        is RelayEnd.Broken -> request.broken(end, mayRepeat)
+        is RelayEnd.Stalled -> request.broken("stalled", end.delivered, mayRepeat)
+        is RelayEnd.Broken -> request.broken(end.reason, end.delivered, mayRepeat)
     }
 }
 
-private fun RelayedRequest.broken(end: RelayEnd.Broken, mayRepeat: () -> Boolean): RelayStep = when {
-    end.delivered -> goOnOrAbort(end.reason, mayRepeat)
+private fun RelayedRequest.broken(reason: String, delivered: Boolean, mayRepeat: () -> Boolean): RelayStep = when {
+    delivered -> goOnOrAbort(reason, mayRepeat)
     repeatable && mayRepeat() -> RelayStep.SendAgain
-    else -> RelayStep.AnswerUnknown(end.reason)
+    else -> RelayStep.AnswerUnknown(reason)
 }
 
 private fun RelayedRequest.goOnOrAbort(reason: String, mayRepeat: () -> Boolean): RelayStep =
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/limits/RetryAllowance.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/limits/RetryAllowance.kt
@@ -21,12 +21,17 @@
 
     /** Takes one repeat from the allowance. Returns false where it is used up. */
     public fun tryRepeat(nowMs: Long): Boolean {
-        forget(nowMs)
-        val allowed = repeats.size + 1 <= ratio * requests.size
+        val allowed = allowsRepeat(nowMs)
         if (allowed) repeats.addLast(nowMs)
         return allowed
     }
 
+    /** Returns whether one more repeat is within the allowance. */
+    public fun allowsRepeat(nowMs: Long): Boolean {
+        forget(nowMs)
+        return repeats.size + 1 <= ratio * requests.size
+    }
+
     private fun forget(nowMs: Long) {
         while (requests.isNotEmpty() && nowMs - requests.first() >= windowMs) requests.removeFirst()
         while (repeats.isNotEmpty() && nowMs - repeats.first() >= windowMs) repeats.removeFirst()
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallRun.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallRun.kt
@@ -56,7 +56,7 @@
         parts.metrics.onAttemptFailed(end)
         call.tried += attempt.target.endpoint.id
         if (end is RelayEnd.Broken) parts.suspects.onBreak(call, attempt.target.endpoint.id)
-        if (end is RelayEnd.Broken || end is RelayEnd.Failed) call.mayHaveRun = true
+        if (end !is RelayEnd.NotSent && end !is RelayEnd.NotRun) call.mayHaveRun = true
         val request = RelayedRequest(
             call.route.repeatable,
             call.route.resumable,
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointAttempt.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointAttempt.kt
@@ -2,6 +2,7 @@
 
 import corneltrack.policy.limits.EndpointSign
 import corneltrack.policy.limits.RelayEnd
+import corneltrack.policy.limits.stallLimitMs
 import corneltrack.router.endToEnd
 import corneltrack.world.routing.AnswerForm
 import io.netty.buffer.ByteBuf
@@ -11,6 +12,7 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpVersion
+import java.util.concurrent.TimeUnit
 
 private const val FIRST_SUCCESS = 200
 private const val FIRST_REDIRECT = 300
@@ -38,6 +40,7 @@
     private val parts: RelayParts,
     private val owner: AttemptOwner,
 ) {
+    private val stallLimitMs = stallLimitMs(call.route.pauseLimitMs)
     private val exchange =
         EndpointExchange(target.endpoint, call.requestId, parts.connections, parts.dialect, parts.loop, Listener())
     private val timing = EventTiming(call, target)
@@ -58,6 +61,34 @@
     fun begin() {
         val reuseIdleMs = if (call.route.repeatable) REPEATABLE_REUSE_MS else AT_MOST_ONCE_REUSE_MS
         exchange.begin(reuseIdleMs, parts.nowMs())
+        if (call.route.resumable && call.route.form == AnswerForm.EVENTS) checkStallAfter(stallLimitMs)
+    }
+
+    private fun checkStallAfter(delayMs: Long) {
+        parts.loop.schedule(::checkStall, delayMs, TimeUnit.MILLISECONDS)
+    }
+
+    /** Gives a silent endpoint up where another one may go on; a caller that does not read holds events up itself. */
+    private fun checkStall() {
+        if (left || call.over) return
+        val silentMs = parts.nowMs() - timing.latestMs
+        val stalled = sent && call.sink.writable && silentMs >= stallLimitMs
+        when {
+            stalled && parts.mayRepeat(call) -> onStalled()
+            stalled || silentMs >= stallLimitMs -> checkStallAfter(stallLimitMs)
+            else -> checkStallAfter(stallLimitMs - silentMs)
+        }
+    }
+
+    private fun onStalled() {
+        exchange.cancel()
+        parts.connections.discard(target.endpoint.id)
+        fail(EndpointSign.FAILED, RelayEnd.Stalled(call.delivered))
+    }
+
+    private fun fail(sign: EndpointSign?, end: RelayEnd) {
+        if (sign != null) parts.onSign(target, sign)
+        owner.onFailed(this, end)
     }
 
     /** Sends the answer, which is complete, on to the caller. */
@@ -153,11 +184,6 @@
             val gone = code == HttpResponseStatus.MISDIRECTED_REQUEST.code()
             fail(if (gone) EndpointSign.UNREACHABLE else EndpointSign.FAILED, RelayEnd.NotRun(code))
         }
-
-        private fun fail(sign: EndpointSign?, end: RelayEnd) {
-            if (sign != null) parts.onSign(target, sign)
-            owner.onFailed(this@EndpointAttempt, end)
-        }
     }
 }
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EventTiming.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EventTiming.kt
@@ -5,6 +5,10 @@
     private var sentMs = 0L
     private var lastEventMs = 0L
 
+    /** When the last event came, or by when the first one was expected. */
+    val latestMs: Long
+        get() = if (lastEventMs > 0) lastEventMs else sentMs + target.expected.waitMs.toLong()
+
     /** Notes that the request leaves. */
     fun onSent(nowMs: Long) {
         sentMs = nowMs
--- /dev/null
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/StalledStreamTest.kt
@@ -0,0 +1,90 @@
+package corneltrack.router.relay
+
+import java.net.Socket
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+
+/** Past the pause limit, but less than a stall. */
+private const val SOUND_PAUSE_MS = 700L
+private const val TRICKLE_MS = 100L
+private const val RESUMED = "/resumed/x"
+private const val TOKENS = "tokens: 100\r\n"
+
+/** Streams whose endpoint neither goes on nor breaks off, beside slow ones that are sound. */
+class StalledStreamTest {
+    private val fixture = RelayFixture(timeoutMs = 30_000)
+    private val over = CountDownLatch(1)
+
+    @AfterTest
+    fun stop() {
+        over.countDown()
+        fixture.close()
+    }
+
+    @Test
+    fun `a stream that stalls while single bytes still come goes on at another endpoint`() {
+        val stalling = fixture.endpoint("a") { request, socket ->
+            if (request.isResumable) {
+                socket.send(signedStream(request) + chunk(event(1)))
+                socket.trickle()
+            } else {
+                socket.sendFrom(request)
+            }
+        }
+        val sound = fixture.endpoint("b", dataCentre = "there") { request, socket -> socket.sendFrom(request) }
+        fixture.start()
+        allowRepeats()
+
+        val answer = fixture.call(RESUMED, headers = TOKENS)
+
+        val pieces = Regex("piece-\\d").findAll(answer).map { it.value }.toList()
+        assertEquals(listOf("piece-1", "piece-2", "piece-3"), pieces)
+        assertTrue(answer.endsWith(LAST_CHUNK), "found $answer")
+        assertEquals("1", sound.requests.last().headers["last-event"])
+        await("the stalled connection to be closed") { stalling.closedByPeer.isNotEmpty() }
+    }
+
+    @Test
+    fun `a slow stream that is sound is not cut`() {
+        val slow = fixture.endpoint("a") { request, socket ->
+            if (request.isResumable) socket.sendSlowly(request) else socket.sendFrom(request)
+        }
+        val other = fixture.endpoint("b", dataCentre = "there") { request, socket -> socket.sendFrom(request) }
+        fixture.start()
+        allowRepeats()
+
+        val answer = fixture.call(RESUMED, headers = TOKENS)
+
+        assertEquals(4, Regex("piece-\\d").findAll(answer).count(), "found $answer")
+        assertEquals(1, slow.requests.count { it.isResumable })
+        assertFalse(other.requests.any { it.isResumable })
+    }
+
+    /** Sends enough requests for a repeat to be within the fleet's bound. */
+    private fun allowRepeats() = repeat(10) { fixture.call("/stream/x", headers = TOKENS) }
+
+    private val ReadRequest.isResumable: Boolean get() = line.startsWith("POST $RESUMED")
+
+    private fun Socket.sendSlowly(request: ReadRequest) {
+        send(signedStream(request))
+        (1..4).forEach {
+            over.await(SOUND_PAUSE_MS, TimeUnit.MILLISECONDS)
+            send(chunk(event(it)))
+        }
+        send(LAST_CHUNK)
+    }
+
+    private fun Socket.trickle() {
+        while (!over.await(TRICKLE_MS, TimeUnit.MILLISECONDS)) send(chunk(":"))
+    }
+
+    private fun Socket.sendFrom(request: ReadRequest) {
+        val first = (request.headers["last-event"]?.toInt() ?: 0) + 1
+        send(signedStream(request) + (first..3).joinToString("") { chunk(event(it)) } + LAST_CHUNK)
+    }
+}
