Decide once whether an attempt may follow, and look at each byte of a stream once

Found on reading the whole change again; behaviour stays as it is.

- Whether time and route leave room for another attempt stood twice, in decideRelayStep and beside it for stalls: now RelayedRequest.hasAttemptLeft, asked through the attempt's owner.
The check for a stall had a branch that held nothing of its own.
Giving an endpoint up stood twice in EndpointAttempt.
- The bound of 128 KiB on an event was a fix at the wrong depth: EventSplitter looked through the whole event under way at each piece.
It now goes on where it stopped.
EventSplitterTest cuts a stream at every size; the bound stays.
- TopicFollower says its age; RoutingBeliefs and two places in itself reckoned it again.

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/limits/RelayDecision.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/limits/RelayDecision.kt
@@ -67,7 +67,12 @@
     val maximumAttempts: Int,
     val mayHaveRun: Boolean,
     val timeLeftMs: Long,
-)
+) {
+    internal val inTime: Boolean get() = timeLeftMs > 0
+
+    /** Whether its time and its route leave room for another attempt. */
+    public val hasAttemptLeft: Boolean get() = inTime && attempts < maximumAttempts
+}
 
 /**
  * Decides what follows the [end] of an attempt.
@@ -75,10 +80,9 @@
  * @param tryRepeat takes one repeat from the fleet's allowance, or returns false.
  */
 public fun decideRelayStep(request: RelayedRequest, end: RelayEnd, tryRepeat: () -> Boolean): RelayStep {
-    val inTime = request.timeLeftMs > 0
-    val mayRepeat = { inTime && request.attempts < request.maximumAttempts && tryRepeat() }
+    val mayRepeat = { request.hasAttemptLeft && tryRepeat() }
     return when (end) {
-        is RelayEnd.NotSent -> if (inTime) RelayStep.SendAgain else request.unanswered(end.reason)
+        is RelayEnd.NotSent -> if (request.inTime) RelayStep.SendAgain else request.unanswered(end.reason)
         is RelayEnd.NotRun -> if (mayRepeat()) RelayStep.SendAgain else request.unanswered("status ${end.status}")
         is RelayEnd.Failed -> when {
             end.delivered -> request.goOnOrAbort("status ${end.status}", mayRepeat)
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/EngineLoad.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placing/EngineLoad.kt
@@ -24,6 +24,11 @@
  * @property memoryTokens tokens that the running requests keep in the engine's memory, shared parts left out.
  */
 public data class LoadSummary(val unreadTokens: Long, val running: Int, val memoryTokens: Long) {
+    public companion object {
+        /** Nothing under way. */
+        public val NOTHING: LoadSummary = LoadSummary(0, 0, 0)
+    }
+
     internal operator fun plus(other: LoadSummary) =
         LoadSummary(unreadTokens + other.unreadTokens, running + other.running, memoryTokens + other.memoryTokens)
 
@@ -31,8 +36,6 @@
         LoadSummary(unreadTokens - other.unreadTokens, running - other.running, memoryTokens - other.memoryTokens)
 }
 
-private val NOTHING = LoadSummary(0, 0, 0)
-
 /** Tracks one request at an engine from its sending to its end. */
 public class EngineRun internal constructor(
     internal val unreadTokens: Int,
@@ -54,7 +57,7 @@
     private data class PeerLoad(val summary: LoadSummary, val atMs: Long)
 
     private val peers = HashMap<InstanceId, PeerLoad>()
-    private var peerTotal = NOTHING
+    private var peerTotal = LoadSummary.NOTHING
     private var heardUntilMs = Long.MAX_VALUE
     private var unreadTokens = 0L
     private var running = 0
@@ -81,7 +84,8 @@
 
     /** Takes in what [peer] has under way here. */
     public fun onPeer(peer: InstanceId, summary: LoadSummary, nowMs: Long) {
-        val before = if (summary == NOTHING) peers.remove(peer) else peers.put(peer, PeerLoad(summary, nowMs))
+        val before =
+            if (summary == LoadSummary.NOTHING) peers.remove(peer) else peers.put(peer, PeerLoad(summary, nowMs))
         if (before != null) peerTotal -= before.summary
         peerTotal += summary
         heardUntilMs = minOf(heardUntilMs, nowMs + PEER_SILENCE_MS)
@@ -89,7 +93,7 @@
 
     private fun dropSilent(nowMs: Long) {
         peers.values.removeIf { nowMs - it.atMs > PEER_SILENCE_MS }
-        peerTotal = peers.values.fold(NOTHING) { sum, peer -> sum + peer.summary }
+        peerTotal = peers.values.fold(LoadSummary.NOTHING) { sum, peer -> sum + peer.summary }
         heardUntilMs = peers.values.minOfOrNull { it.atMs + PEER_SILENCE_MS } ?: Long.MAX_VALUE
     }
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/callers/StrictServerCodec.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/callers/StrictServerCodec.kt
@@ -55,9 +55,10 @@
 
 /** Puts a chunk's size, data and line end into one buffer. */
 private fun joinSmall(context: ChannelHandlerContext, out: MutableList<Any>) {
+    if (out.size < 2) return
     val parts = out.filterIsInstance<ByteBuf>()
     val bytes = parts.sumOf { it.readableBytes() }
-    if (parts.size < 2 || parts.size < out.size || bytes > JOINED_BYTES) return
+    if (parts.size < out.size || bytes > JOINED_BYTES) return
     val joined = context.alloc().directBuffer(bytes)
     parts.forEach { part ->
         joined.writeBytes(part)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallRun.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallRun.kt
@@ -25,6 +25,9 @@
     private var attempt: EndpointAttempt? = null
     private var timer: ScheduledFuture<*>? = null
 
+    override val mayRepeat: Boolean
+        get() = call.toRelayedRequest(parts.nowMs()).hasAttemptLeft && parts.allowsRepeat(call.pool.id)
+
     /** Begins. */
     fun start() {
         val leftMs = call.times.finalMs - parts.nowMs()
@@ -57,14 +60,7 @@
         call.tried += attempt.target.endpoint.id
         if (end is RelayEnd.Broken) parts.suspects.onBreak(call, attempt.target.endpoint.id)
         if (end !is RelayEnd.NotSent && end !is RelayEnd.NotRun) call.mayHaveRun = true
-        val request = RelayedRequest(
-            call.route.repeatable,
-            call.route.resumable,
-            call.attempts,
-            call.route.maximumAttempts,
-            call.mayHaveRun,
-            call.times.finalMs - parts.nowMs(),
-        )
+        val request = call.toRelayedRequest(parts.nowMs())
         follow(decideRelayStep(request, end) { parts.tryRepeat(call.pool.id) }, attempt)
     }
 
@@ -113,3 +109,12 @@
         attempt = null
     }
 }
+
+private fun RelayedCall.toRelayedRequest(nowMs: Long) = RelayedRequest(
+    route.repeatable,
+    route.resumable,
+    attempts,
+    route.maximumAttempts,
+    mayHaveRun,
+    times.finalMs - nowMs,
+)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointAttempt.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointAttempt.kt
@@ -24,13 +24,16 @@
 /** The most bytes of a body that reaches nobody, as after a refusal, before the connection is given up. */
 private const val MOST_UNUSED_BYTES = 64 * 1024
 
-/** Learns what became of an attempt; exactly one of these is called, once. */
+/** Learns what became of an attempt: that it was answered or that it failed, once. */
 internal interface AttemptOwner {
     /** The answer of [attempt] is complete and can be delivered to the caller. */
     fun onAnswered(attempt: EndpointAttempt)
 
     /** The attempt failed. */
     fun onFailed(attempt: EndpointAttempt, end: RelayEnd)
+
+    /** Whether another attempt could follow. */
+    val mayRepeat: Boolean
 }
 
 /** Has one endpoint answer one request. Only used on the event loop. */
@@ -71,19 +74,19 @@
     /** Gives a silent endpoint up where another one may go on; a caller that does not read holds events up itself. */
     private fun checkStall() {
         if (left || call.over) return
-        val silentMs = parts.nowMs() - timing.latestMs
-        val stalled = sent && call.sink.writable && silentMs >= stallLimitMs
+        val leftMs = timing.latestMs + stallLimitMs - parts.nowMs()
         when {
-            stalled && parts.mayRepeat(call) -> onStalled()
-            stalled || silentMs >= stallLimitMs -> checkStallAfter(stallLimitMs)
-            else -> checkStallAfter(stallLimitMs - silentMs)
+            leftMs > 0 -> checkStallAfter(leftMs)
+            sent && call.sink.writable && owner.mayRepeat ->
+                giveUp(EndpointSign.FAILED, RelayEnd.Stalled(call.delivered))
+            else -> checkStallAfter(stallLimitMs)
         }
     }
 
-    private fun onStalled() {
+    private fun giveUp(sign: EndpointSign?, end: RelayEnd) {
         exchange.cancel()
         parts.connections.discard(target.endpoint.id)
-        fail(EndpointSign.FAILED, RelayEnd.Stalled(call.delivered))
+        fail(sign, end)
     }
 
     private fun fail(sign: EndpointSign?, end: RelayEnd) {
@@ -159,11 +162,8 @@
         }
 
         /** A kept connection may have broken with no fault of the endpoint. */
-        override fun onBroken(reason: String) {
-            exchange.cancel()
-            parts.connections.discard(target.endpoint.id)
-            fail(if (reused) null else EndpointSign.FAILED, RelayEnd.Broken(reason, call.delivered))
-        }
+        override fun onBroken(reason: String) =
+            giveUp(if (reused) null else EndpointSign.FAILED, RelayEnd.Broken(reason, call.delivered))
 
         /** What the head said holds, however much follows it. */
         private fun onUnused(bytes: Int) {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EventSplitter.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EventSplitter.kt
@@ -7,7 +7,7 @@
 private const val CARRIAGE_RETURN = '\r'.code.toByte()
 private const val ID_FIELD = "id:"
 
-/** Longer than any event of a sound stream; bounds the memory and the scanning that an event without an end takes. */
+/** Longer than any event of a sound stream; bounds the memory that an event without an end takes. */
 private const val LONGEST_EVENT_BYTES = 128 * 1024
 
 /**
@@ -21,6 +21,10 @@
 internal class EventSplitter : AutoCloseable {
     private var pending: ByteBuf = Unpooled.buffer()
 
+    /** Where the line under way begins and where the search for its end goes on, from the reader's position. */
+    private var lineOffset = 0
+    private var searchOffset = 0
+
     /** Whether the stream stands in the middle of an event. */
     val midEvent: Boolean get() = pending.isReadable
 
@@ -31,33 +35,46 @@
     fun feed(data: ByteBuf): List<StreamEvent> {
         pending.writeBytes(data, data.readerIndex(), data.readableBytes())
         val events = ArrayList<StreamEvent>(1)
-        var end = pending.endOfEvent()
-        while (end >= 0) {
-            val bytes = pending.readBytes(end - pending.readerIndex())
+        var length = eventLength()
+        while (length > 0) {
+            val bytes = pending.readBytes(length)
             events += StreamEvent(bytes, bytes.eventId())
-            end = pending.endOfEvent()
+            length = eventLength()
         }
         pending.discardSomeReadBytes()
         return events
     }
 
     /** Returns the bytes of an event that was not completed, and forgets them. */
-    fun rest(): ByteBuf = pending.readBytes(pending.readableBytes())
+    fun rest(): ByteBuf {
+        lineOffset = 0
+        searchOffset = 0
+        return pending.readBytes(pending.readableBytes())
+    }
 
-    override fun close() {
-        if (pending.refCnt() > 0) pending.release()
+    /** Returns the bytes up to the end of the next blank line, or 0 where it has not come; looks at each byte once. */
+    private fun eventLength(): Int {
+        while (true) {
+            val length = pending.readableBytes()
+            val lineEnd = pending.bytesBefore(pending.readerIndex() + searchOffset, length - searchOffset, LINE_FEED)
+            if (lineEnd < 0) {
+                searchOffset = length
+                return 0
+            }
+            val nextLine = searchOffset + lineEnd + 1
+            val endsEvent = lineOffset > 0 && isBlank(nextLine - lineOffset)
+            lineOffset = if (endsEvent) 0 else nextLine
+            searchOffset = lineOffset
+            if (endsEvent) return nextLine
+        }
     }
-}
 
-/** Returns the index after the next blank line, or -1. */
-private fun ByteBuf.endOfEvent(): Int {
-    var lineStart = readerIndex()
-    while (true) {
-        val lineEnd = indexOf(lineStart, writerIndex(), LINE_FEED)
-        if (lineEnd < 0) return -1
-        val blank = lineEnd == lineStart || (lineEnd == lineStart + 1 && getByte(lineStart) == CARRIAGE_RETURN)
-        if (blank && lineStart > readerIndex()) return lineEnd + 1
-        lineStart = lineEnd + 1
+    /** Returns whether the line under way, [length] bytes with its end, is blank. */
+    private fun isBlank(length: Int): Boolean =
+        length == 1 || (length == 2 && pending.getByte(pending.readerIndex() + lineOffset) == CARRIAGE_RETURN)
+
+    override fun close() {
+        if (pending.refCnt() > 0) pending.release()
     }
 }
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
@@ -59,6 +59,7 @@
     private val onSuspicion: (Suspicion) -> Unit,
 ) {
     private val load = shared.load
+    private val loads = PeerLoads(load)
     private val peers = PeerTable(settings)
     private val follower =
         TopicFollower(FollowedTopic("peers", topic, PEER_PACE), loop, clock, ::rank, peers::onRecord)
@@ -66,7 +67,6 @@
     private var channel: Channel? = null
     private var idleSent = false
     private var digests = 0L
-    private val loads = PeerLoads(load)
 
     /** Starts to listen, announces this router and follows the announcements of others. */
     fun start() {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerLoads.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerLoads.kt
@@ -6,8 +6,6 @@
 import corneltrack.world.InstanceId
 import corneltrack.world.WorkspaceId
 
-private val NOTHING = LoadSummary(0, 0, 0)
-
 /**
  * Takes peers' digests into what this router believes of the fleet's load.
  *
@@ -28,7 +26,7 @@
 
     private fun onEndpoints(peer: InstanceId, endpoints: Map<String, EndpointDigest>, nowMs: Long) {
         val before = named.put(peer, endpoints.keys).orEmpty()
-        before.forEach { id -> if (id !in endpoints) apply(peer, id, NOTHING, nowMs) }
+        before.forEach { id -> if (id !in endpoints) apply(peer, id, LoadSummary.NOTHING, nowMs) }
         endpoints.forEach { (id, digest) -> apply(peer, id, digest.summary(), nowMs) }
     }
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayParts.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayParts.kt
@@ -29,9 +29,8 @@
     /** Takes one repeat from the allowance of [pool]. */
     fun tryRepeat(pool: PoolId): Boolean = allowance(pool).tryRepeat(nowMs())
 
-    /** Returns whether a further attempt of [call] is within what its route and the allowance of its pool allow. */
-    fun mayRepeat(call: RelayedCall): Boolean =
-        call.attempts < call.route.maximumAttempts && allowance(call.pool.id).allowsRepeat(nowMs())
+    /** Returns whether one more repeat is within the allowance of [pool]. */
+    fun allowsRepeat(pool: PoolId): Boolean = allowance(pool).allowsRepeat(nowMs())
 
     /** Takes in a sign of how well an endpoint is. */
     fun onSign(target: Target, sign: EndpointSign) {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RoutingBeliefs.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RoutingBeliefs.kt
@@ -90,10 +90,10 @@
     }
 
     /** Returns the age of the operators' records, in ms, or null where none are known. */
-    fun operatorAgeMs(): Long? = operator.asOf?.let { clock().since(it) }
+    fun operatorAgeMs(): Long? = operator.ageMs
 
     /** Returns the age of the endpoints' records, in ms, or null where none are known. */
-    fun endpointAgeMs(): Long? = listing.asOf?.let { clock().since(it) }
+    fun endpointAgeMs(): Long? = listing.ageMs
 
     /** Returns whether a key may have been taken away without this router knowing, so that none may be accepted. */
     fun keysTooOld(): Boolean = bounds.failClosed && (operatorAgeMs() ?: Long.MAX_VALUE) > bounds.keyAgeMs
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicFollower.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicFollower.kt
@@ -59,7 +59,6 @@
     private var check: ScheduledFuture<*>? = null
     private var end = 0L
     private var peerStoreBackMs: Long? = null
-    private val ageMs: Long get() = asOf?.let { clock().since(it) } ?: Long.MAX_VALUE
 
     /** Names the topic in logs and among peers. */
     val name: String = followed.name
@@ -68,6 +67,9 @@
     var asOf: BeliefTime? = null
         private set
 
+    /** How old this router's knowledge is, in ms; null before the first. */
+    val ageMs: Long? get() = asOf?.let { clock().since(it) }
+
     /** When the store last answered again after it had not, in ms of the steady clock, or null where it always did. */
     val storeBackMs: Long? get() = listOfNotNull(watch.regainedMs, peerStoreBackMs).maxOrNull()
 
@@ -173,21 +175,21 @@
         } else {
             idle = true
             // Nothing falls to this router before, whichever peers go.
-            val dueMs = readingPatienceMs(pace.waitMs + pace.pauseMs, rank = 0) - ageMs
+            val dueMs = readingPatienceMs(pace.waitMs + pace.pauseMs, rank = 0) - (ageMs ?: Long.MAX_VALUE)
             check = loop.schedule(::checkPatience, maxOf(CHECK_MS, dueMs), TimeUnit.MILLISECONDS)
         }
     }
 
     private fun checkPatience() {
         idle = false
-        val lapsed = ageMs >= readingPatienceMs(pace.waitMs + pace.pauseMs, rank())
+        val lapsed = (ageMs ?: Long.MAX_VALUE) >= readingPatienceMs(pace.waitMs + pace.pauseMs, rank())
         if (lapsed) reads = true
         if (lapsed || behind) read(0) else readOnLater()
     }
 
     private fun onFailure(reply: TopicReply, retry: () -> Unit) {
         val reason = (reply as? TopicReply.Unavailable)?.reason ?: "unexpected answer"
-        loop.after(watch.onFailure(reason, asOf?.let { clock().since(it) }), retry)
+        loop.after(watch.onFailure(reason, ageMs), retry)
     }
 }
 
--- /dev/null
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/EventSplitterTest.kt
@@ -0,0 +1,27 @@
+package corneltrack.router.relay
+
+import io.netty.buffer.Unpooled
+import kotlin.test.Test
+import kotlin.test.assertEquals
+
+private const val STREAM = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n\n: note\n\ndata: c\n\nid: 4\nda"
+
+class EventSplitterTest {
+    @Test
+    fun `a stream splits alike however its bytes are cut`() {
+        val whole = split(STREAM.length)
+
+        assertEquals(listOf("1", "2", null, null), whole.ids)
+        assertEquals(STREAM.removeSuffix("id: 4\nda"), whole.events.joinToString(""))
+        assertEquals("id: 4\nda", whole.rest)
+        (1 until STREAM.length).forEach { size -> assertEquals(whole, split(size), "cut each $size bytes") }
+    }
+
+    private data class Split(val events: List<String>, val ids: List<String?>, val rest: String)
+
+    private fun split(size: Int): Split = EventSplitter().use { splitter ->
+        val events = STREAM.chunked(size).flatMap { splitter.feed(Unpooled.copiedBuffer(it, Charsets.UTF_8)) }
+        val texts = events.map { it.bytes.toString(Charsets.UTF_8) }
+        Split(texts, events.map { it.id }, splitter.rest().toString(Charsets.UTF_8))
+    }
+}
