Answer the callers in the backlog before a router stops listening

The router on its own interface also ended its event loops while accepted connections had no answer yet: both routers now wait until the connections have closed, for a second at most.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/Router.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/Router.kt
@@ -138,6 +138,7 @@
         logger.event("router_draining") { field("open", runner.openRequests) }
         draining = true
         gateway.drain()
+        connections.startDraining()
         control.execute { allocators.releaseLeases() }
         val startedMs = clock()
         while (clock() - startedMs < MINIMUM_DRAIN_MS || !isIdle()) {
@@ -151,6 +152,7 @@
 
     override fun close() {
         callers.close()
+        connections.awaitClosed(clock)
         controlServer.close()
         workers.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync()
         controlLoops.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync()
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerConnections.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerConnections.kt
@@ -1,8 +1,13 @@
 package corneltrack.router.callers
 
+import corneltrack.router.Clock
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 
+/** How long connections that were accepted last may take to send a request and read its answer, in ms. */
+private const val LAST_ANSWERS_TIMEOUT_MS = 1_000L
+private const val CLOSED_POLL_MS = 20L
+
 /** Tracks the open connections of callers and their pending requests, and closes them on shutdown. Thread-safe. */
 internal class CallerConnections {
     private val open: MutableSet<CallerConnection> = ConcurrentHashMap.newKeySet()
@@ -27,6 +32,17 @@
     /** Closes the connections that have no request. */
     fun closeIdle() = open.forEach { it.closeIfIdle() }
 
+    /**
+     * Waits until all connections are closed, after the server has stopped to accept any. Each closes after its answer.
+     *
+     * @return whether all are closed before [timeoutMs] have passed.
+     */
+    fun awaitClosed(clock: Clock, timeoutMs: Long = LAST_ANSWERS_TIMEOUT_MS): Boolean {
+        val startMs = clock()
+        while (openCount > 0 && clock() - startMs < timeoutMs) Thread.sleep(CLOSED_POLL_MS)
+        return openCount == 0
+    }
+
     fun onOpened(connection: CallerConnection) {
         open += connection
     }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerServer.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerServer.kt
@@ -3,6 +3,7 @@
 import corneltrack.wire.HostAndPort
 import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
@@ -10,6 +11,7 @@
 import io.netty.channel.WriteBufferWaterMark
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.flush.FlushConsolidationHandler
 import java.net.InetSocketAddress
 
@@ -40,7 +42,7 @@
     fun start(address: HostAndPort): CallerServer {
         channel = ServerBootstrap()
             .group(workers)
-            .channel(NioServerSocketChannel::class.java)
+            .channel(AcceptingServerChannel::class.java)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.RECVBUF_ALLOCATOR, acceptAllocator)
             .childOption(ChannelOption.TCP_NODELAY, true)
@@ -59,7 +61,24 @@
         return this
     }
 
+    /** Stops listening; connections that the kernel has established by then are still accepted and served. */
+    fun stopListening(): ChannelFuture? = channel?.close()
+
+    /** Stops listening and waits until that is done. */
     override fun close() {
-        channel?.close()?.sync()
+        stopListening()?.sync()
+    }
+}
+
+/**
+ * A listening channel that accepts the connections in its backlog before it closes.
+ *
+ * Answers a planned stop under load: closing a listening socket resets the connections in its backlog, on which callers
+ * may already have sent their requests.
+ */
+internal class AcceptingServerChannel : NioServerSocketChannel() {
+    override fun doClose() {
+        generateSequence { javaChannel().accept() }.forEach { pipeline().fireChannelRead(NioSocketChannel(this, it)) }
+        super.doClose()
     }
 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
@@ -142,6 +142,7 @@
 
     override fun close() {
         callers.close()
+        connections.awaitClosed(monotonicClock)
         readiness.close()
     }
 
--- /dev/null
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/callers/CallerServerTest.kt
@@ -0,0 +1,73 @@
+package corneltrack.router.callers
+
+import corneltrack.router.monotonicClock
+import corneltrack.wire.HostAndPort
+import io.netty.channel.MultiThreadIoEventLoopGroup
+import io.netty.channel.nio.NioIoHandler
+import io.netty.handler.codec.http.HttpResponseStatus
+import java.net.Socket
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+
+private const val CALLERS = 5
+private const val READ_TIMEOUT_MS = 10_000
+
+/** Far beyond what a loaded machine needs to answer a few requests. */
+private const val CLOSE_TIMEOUT_MS = 10_000L
+
+/** Checks that a planned stop answers callers whose connections the kernel has established but nobody has accepted. */
+class CallerServerTest {
+    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+    private val connections = CallerConnections()
+    private val server = CallerServer(group) {
+        CallerConnection(ConnectionLimits(bodyBytes = 1_024), connections) { _, _, sink ->
+            sink.refuse(Refusal(HttpResponseStatus.SERVICE_UNAVAILABLE, "leaving", "This router is shutting down."))
+            ({})
+        }
+    }.start(HostAndPort("127.0.0.1", 0))
+
+    @AfterTest
+    fun stop() {
+        server.close()
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS).sync()
+    }
+
+    @Test
+    fun `a server that stops answers the callers in its backlog`() {
+        connections.startDraining()
+        val allSent = CountDownLatch(1)
+        group.next().execute {
+            allSent.await()
+            server.stopListening()
+        }
+        val callers = List(CALLERS) { connect().also { it.sendRequest() } }
+        allSent.countDown()
+
+        val responses = callers.map { String(it.getInputStream().readAllBytes()) }
+
+        assertEquals(List(CALLERS) { "HTTP/1.1 503 Service Unavailable" }, responses.map { it.substringBefore("\r\n") })
+        assertTrue(connections.awaitClosed(monotonicClock, CLOSE_TIMEOUT_MS), "open: ${connections.openCount}")
+    }
+
+    @Test
+    fun `a connection without a request holds up a stop only until the timeout`() {
+        val caller = connect()
+        while (connections.openCount == 0) Thread.onSpinWait()
+        var nowMs = 0L
+
+        assertFalse(connections.awaitClosed({ nowMs.also { nowMs += 500 } }, timeoutMs = 1_000))
+        caller.close()
+    }
+
+    private fun connect() = Socket("127.0.0.1", server.port).apply { soTimeout = READ_TIMEOUT_MS }
+
+    private fun Socket.sendRequest() {
+        getOutputStream().write("GET /x HTTP/1.1\r\nHost: corneltrack\r\n\r\n".toByteArray())
+        getOutputStream().flush()
+    }
+}
