Copy cached prefixes between engines, and tell peers which engine has which prefix

Only a store that served nobody known counts as one that was away (TopicFollowerTest, failing before).

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/EnginePlacement.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/EnginePlacement.kt
@@ -1,5 +1,6 @@
 package corneltrack.policy.placement
 
+import corneltrack.world.DataCentreId
 import corneltrack.world.EndpointId
 
 /**
@@ -42,6 +43,7 @@
  * @property kvCacheTokens the tokens that the engine's KV memory holds.
  * @property networkDelayMs the time that the network adds to the first event, in ms. It counts against the wait limits
  *   but not in the score: a remote engine that has the prompt's prefix cached is preferred if it responds in time.
+ * @property dataCentre the data centre of the engine; copies of cached prefixes within it are preferred.
  * @property penaltyMs an added cost in the score, in ms, for example for billed traffic between regions or for an
  *   engine assigned to another size class.
  */
@@ -52,6 +54,7 @@
     val batchSlots: Int,
     val kvCacheTokens: Long,
     val networkDelayMs: Double,
+    val dataCentre: DataCentreId,
     val penaltyMs: Double,
 )
 
@@ -103,12 +106,14 @@
      * @property expectedWaitMs the expected wait for the first event, in ms.
      * @property prefillTokens the prompt tokens that the engine has to process.
      * @property missedTokens those of them that belong to the shared prefix.
+     * @property transfer the copy of a cached prefix to request of the engine, or null for none.
      */
     public data class Chosen(
         val candidate: EngineCandidate,
         val expectedWaitMs: Double,
         val prefillTokens: Int,
         val missedTokens: Int,
+        val transfer: PrefixTransfer? = null,
     ) : PlacementDecision
 
     /**
@@ -131,16 +136,18 @@
  * Saves prefill under a load of long prompts with shared prefixes: requests with the same prefix go to the same engine
  * as long as its queue is short. A request that cannot start in time is refused at once.
  *
- * @param retentionMs the time for which engines cache a segment after its last use, in ms.
+ * @param sources the engines from which a cached prefix may be copied.
  */
 public fun placeGeneration(
     request: PlacementRequest,
     candidates: List<EngineCandidate>,
-    retentionMs: Long,
+    caching: PrefixCaching,
     nowMs: Long,
+    sources: List<EngineCandidate> = candidates,
 ): PlacementDecision {
-    val scored = candidates.withCachedTokens(request.generation, retentionMs, nowMs)
-        .map { (candidate, cachedTokens) -> ScoredCandidate(candidate, request, cachedTokens, nowMs) }
+    val prefixSources = PrefixSources(sources, request.generation, caching, nowMs)
+    val scored = candidates.withPrefix(request.generation, caching, prefixSources, nowMs)
+        .map { (candidate, prefix) -> ScoredCandidate(candidate, request, prefix, nowMs) }
     val best = scored.filter { it.reason == null }.minByOrNull { it.score }
     return best?.chosen() ?: refusal(request, scored)
 }
@@ -153,21 +160,28 @@
     return PlacementDecision.Refused(reason, waitMs, maxOf(MINIMUM_RETRY_AFTER_MS, excessMs))
 }
 
+/**
+ * The part of a prompt that one engine need not process.
+ *
+ * @property tokens the expected number of tokens, cached or copied.
+ */
+private class AvailablePrefix(val tokens: Double, val transfer: PrefixTransfer?)
+
 /** An engine with its expected wait for a request and its score; the lowest score is the best. */
 private class ScoredCandidate(
     val candidate: EngineCandidate,
     request: PlacementRequest,
-    cachedTokens: Double,
+    private val prefix: AvailablePrefix,
     nowMs: Long,
 ) {
     private val generation = request.generation
     private val load = candidate.load
     private val total = load.total(nowMs)
-    val prefillTokens = (generation.promptTokens - cachedTokens).toInt().coerceAtLeast(0)
+    val prefillTokens = (generation.promptTokens - prefix.tokens).toInt().coerceAtLeast(0)
     val waitMs = FIRST_EVENT_OVERHEAD_MS + (total.pendingPrefillTokens + prefillTokens) * load.prefillMsPerToken +
         candidate.networkDelayMs
-    val missedTokens = (generation.sharedTokens - cachedTokens).toInt().coerceAtLeast(0)
-    private val missMs = missedTokens * load.prefillMsPerToken
+    val missedTokens = (generation.sharedTokens - prefix.tokens).toInt().coerceAtLeast(0)
+    private val missMs = missedTokens * load.prefillMsPerToken + (prefix.transfer?.durationMs ?: 0.0)
     val score = waitMs - candidate.networkDelayMs + candidate.penaltyMs + MISS_SCORE_WEIGHT * missMs
     private val queueMs =
         FIRST_EVENT_OVERHEAD_MS + total.pendingPrefillTokens * load.prefillMsPerToken + candidate.networkDelayMs
@@ -182,7 +196,7 @@
     private val pausesTooLong = prefillTokens >= MINIMUM_PAUSING_TOKENS &&
         load.recentPauseMs(nowMs) > request.pauseLimitMs * PAUSE_LIMIT_FRACTION
 
-    fun chosen() = PlacementDecision.Chosen(candidate, waitMs, prefillTokens, missedTokens)
+    fun chosen() = PlacementDecision.Chosen(candidate, waitMs, prefillTokens, missedTokens, prefix.transfer)
 
     /** The reason why the engine cannot serve the request, or null if it can. */
     val reason: RefusalReason? = when {
@@ -195,21 +209,24 @@
     }
 }
 
-/** Pairs each candidate with the number of prompt tokens that it is expected to have cached. */
-private fun List<EngineCandidate>.withCachedTokens(
+/** Pairs each candidate with the part of the prompt that it is expected to have cached or can copy. */
+private fun List<EngineCandidate>.withPrefix(
     generation: Generation,
-    retentionMs: Long,
+    caching: PrefixCaching,
+    sources: PrefixSources,
     nowMs: Long,
-): List<Pair<EngineCandidate, Double>> {
+): List<Pair<EngineCandidate, AvailablePrefix>> {
     val (preferred, second) = preferredEngines(generation)
     return map { candidate ->
-        val observed = candidate.prefixCache.cachedTokens(generation.segments, nowMs, retentionMs).toDouble()
+        val observed = candidate.prefixCache.cachedTokens(generation.segments, nowMs, caching.retentionMs)
         val assumed = when (candidate) {
             preferred -> PREFERRED_CACHED_FRACTION
             second -> SECOND_CACHED_FRACTION
             else -> 0.0
         } * generation.sharedTokens
-        candidate to maxOf(observed, assumed)
+        val transfer = sources.transferTo(candidate, observed)
+        val copied = (transfer?.tokens ?: 0) * caching.transferSuccessRate
+        candidate to AvailablePrefix(maxOf(observed + copied, assumed), transfer)
     }
 }
 
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/Generation.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/Generation.kt
@@ -23,6 +23,9 @@
     /** The tokens of the prefix that other requests may share: all segments but the last. */
     val sharedTokens: Int = segments.dropLast(1).sumOf { it.tokens }
 
+    /** The hashes of the prefixes that other requests may share, the shortest first. */
+    val sharedPrefixes: List<Long> get() = segments.dropLast(1).map { it.prefixHash }
+
     /** The segment that ends the prefix that other requests may share, or null if there is no such prefix. */
     val lastSharedSegment: PromptSegment? get() = segments.getOrNull(segments.size - 2)
 
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/PrefixCacheEstimate.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/PrefixCacheEstimate.kt
@@ -1,17 +1,24 @@
 package corneltrack.policy.placement
 
-private const val LOAD_FACTOR = 0.75f
-private const val INITIAL_CAPACITY = 64
+/** A prefix that was confirmed this recently is not reported again, which keeps reports of popular prefixes few. */
+private const val REPORT_INTERVAL_MS = 1_500L
+
+/** Bounds the estimate of an engine that this router sends nothing to. */
+private const val MAXIMUM_KEPT_MS = 60_000L
 
 /**
  * Estimates which prompt segments an engine holds in its prefix cache.
  *
  * Engines do not report the contents of their caches. A segment counts as cached for the retention time after this
- * router last sent it to the engine. Not thread-safe.
+ * router last sent it to the engine, or after a first event showed that the engine has processed it, for this router or
+ * for a peer that reports so. Not thread-safe.
  */
 public class PrefixCacheEstimate {
-    /** When each segment was last sent, by its prefix hash, in access order: least recently accessed first. */
-    private val lastUsedMs = LinkedHashMap<Long, Long>(INITIAL_CAPACITY, LOAD_FACTOR, true)
+    /** The times, in ms, at which a segment was last sent and last confirmed by a first event. */
+    private data class Use(val usedMs: Long, val confirmedMs: Long)
+
+    /** The last use of each segment by its prefix hash, least recently used first. */
+    private val uses = LinkedHashMap<Long, Use>()
 
     /**
      * Records that [segments] were sent to the engine.
@@ -19,20 +26,48 @@
      * @param retentionMs how long the engine is expected to keep an unused segment, in ms.
      */
     public fun onSent(segments: List<PromptSegment>, nowMs: Long, retentionMs: Long) {
-        segments.forEach { lastUsedMs[it.prefixHash] = nowMs }
-        val oldest = lastUsedMs.values.iterator()
-        while (oldest.hasNext() && nowMs - oldest.next() > retentionMs) oldest.remove()
+        segments.forEach { record(it.prefixHash, Use(nowMs, uses[it.prefixHash]?.confirmedMs ?: NEVER_MS)) }
+        val oldest = uses.values.iterator()
+        while (oldest.hasNext() && nowMs - oldest.next().usedMs > retentionMs) oldest.remove()
     }
 
-    /** Returns the length, in tokens, of the longest prefix of [segments] that is probably cached. */
-    public fun cachedTokens(segments: List<PromptSegment>, nowMs: Long, retentionMs: Long): Int {
-        val cached = segments.takeWhile { segment ->
-            val usedMs = lastUsedMs[segment.prefixHash]
-            usedMs != null && nowMs - usedMs <= retentionMs
-        }
-        return cached.sumOf { it.tokens }
+    /**
+     * Records that the engine has the segments with [prefixHashes], since a request that contains them got its first
+     * event. Returns those of them that had not been confirmed lately, which peers should be told.
+     */
+    public fun onConfirmed(prefixHashes: List<Long>, nowMs: Long): List<Long> {
+        val news = prefixHashes.filter { nowMs - (uses[it]?.confirmedMs ?: NEVER_MS) > REPORT_INTERVAL_MS }
+        prefixHashes.forEach { record(it, Use(nowMs, nowMs)) }
+        return news
     }
 
+    /** Returns the length, in tokens, of the longest prefix of [segments] that is probably cached. */
+    public fun cachedTokens(segments: List<PromptSegment>, nowMs: Long, retentionMs: Long): Int =
+        prefixTokens(segments) { nowMs - it.usedMs <= retentionMs }
+
+    /** Returns the length, in tokens, of the longest prefix of [segments] that a first event has confirmed. */
+    internal fun confirmedTokens(segments: List<PromptSegment>, nowMs: Long, retentionMs: Long): Int =
+        prefixTokens(segments) { it.confirmedMs != NEVER_MS && nowMs - it.usedMs <= retentionMs }
+
+    /** Records that the engine turned out to lack the segments with [prefixHashes]. */
+    public fun onMissing(prefixHashes: List<Long>): Unit = prefixHashes.forEach { uses.remove(it) }
+
     /** Removes all segments, as after a restart of the engine. */
-    public fun clear(): Unit = lastUsedMs.clear()
+    public fun clear(): Unit = uses.clear()
+
+    private fun prefixTokens(segments: List<PromptSegment>, counts: (Use) -> Boolean): Int =
+        segments.takeWhile { segment -> uses[segment.prefixHash]?.let(counts) ?: false }.sumOf { it.tokens }
+
+    /** Moves the segment to the end of the order of use, and removes one that was not used for long. */
+    private fun record(prefixHash: Long, use: Use) {
+        uses.remove(prefixHash)
+        uses[prefixHash] = use
+        val oldest = uses.entries.iterator().next()
+        if (use.usedMs - oldest.value.usedMs > MAXIMUM_KEPT_MS) uses.remove(oldest.key)
+    }
+
+    private companion object {
+        /** Long before any point in time, without overflow in a difference. */
+        const val NEVER_MS = Long.MIN_VALUE / 2
+    }
 }
--- a/corneltrack-policy/src/test/kotlin/corneltrack/policy/placement/EnginePlacementTest.kt
+++ b/corneltrack-policy/src/test/kotlin/corneltrack/policy/placement/EnginePlacementTest.kt
@@ -1,5 +1,6 @@
 package corneltrack.policy.placement
 
+import corneltrack.world.DataCentreId
 import corneltrack.world.EndpointId
 import kotlin.test.Test
 import kotlin.test.assertEquals
@@ -7,6 +8,7 @@
 import kotlin.test.assertTrue
 
 private const val RETENTION_MS = 20_000L
+private val CACHING = PrefixCaching(RETENTION_MS)
 
 class EnginePlacementTest {
     private val engines = listOf("a", "b", "c", "d").map { engine(it) }
@@ -89,7 +91,7 @@
         assertEquals(RefusalReason.LONG_PAUSES, refused.reason)
 
         engines.forEach { engine -> repeat(20) { engine.load.onEvent(60, 6, 100) } }
-        assertIs<PlacementDecision.Chosen>(placeGeneration(strict, engines, RETENTION_MS, 100))
+        assertIs<PlacementDecision.Chosen>(placeGeneration(strict, engines, CACHING, 100))
     }
 
     @Test
@@ -111,22 +113,22 @@
 
         assertEquals(preferred.candidate.id, chosen(request, far + near).candidate.id)
         val strict = request.copy(waitLimitMs = 100.0, queueLimitMs = 100.0, generation = generation(1, 4_000, 10))
-        assertIs<PlacementDecision.Refused>(placeGeneration(strict, far, RETENTION_MS, 0))
+        assertIs<PlacementDecision.Refused>(placeGeneration(strict, far, CACHING, 0))
     }
 
     private fun chosen(
         request: PlacementRequest,
         candidates: List<EngineCandidate> = engines,
     ): PlacementDecision.Chosen {
-        val chosen = assertIs<PlacementDecision.Chosen>(placeGeneration(request, candidates, RETENTION_MS, 0))
+        val chosen = assertIs<PlacementDecision.Chosen>(placeGeneration(request, candidates, CACHING, 0))
         chosen.candidate.prefixCache.onSent(request.generation.segments, 0, RETENTION_MS)
         return chosen
     }
 
-    private fun place(request: PlacementRequest) = placeGeneration(request, engines, RETENTION_MS, 0)
+    private fun place(request: PlacementRequest) = placeGeneration(request, engines, CACHING, 0)
 
     private fun refusal(candidates: List<EngineCandidate>): RefusalReason =
-        assertIs<PlacementDecision.Refused>(placeGeneration(request, candidates, RETENTION_MS, 0)).reason
+        assertIs<PlacementDecision.Refused>(placeGeneration(request, candidates, CACHING, 0)).reason
 }
 
 internal fun engine(
@@ -142,6 +144,7 @@
         batchSlots = batchSlots,
         kvCacheTokens = kvCacheTokens,
         networkDelayMs = networkDelayMs,
+        dataCentre = DataCentreId("here"),
         penaltyMs = 0.0,
     )
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallHandler.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallHandler.kt
@@ -91,7 +91,7 @@
         val workspace = call.workspace
         val generation = call.generation
         if (workspace != null && generation != null) shares.onRequested(workspace, generation.cost, nowMs)
-        val runner = CallRunner(call, allowedRegions(admission), context)
+        val runner = CallRunner(call, context)
         (sink as? CallerResponse)?.onWritable = runner::onWritable
         runner.start()
         if (call.placed && workspace != null && generation != null) {
@@ -113,6 +113,7 @@
             workspace = admission.workspaceId,
             route = admission.route,
             pool = admission.pool,
+            regions = allowedRegions(admission),
             generation = metadata.generation,
             times = callTimes(metadata, admission),
             message = CallerMessage(head.method(), head.uri(), head.headers(), request.body),
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallRunner.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallRunner.kt
@@ -4,21 +4,15 @@
 import corneltrack.policy.limits.RelayStep
 import corneltrack.policy.limits.RelayedRequest
 import corneltrack.policy.limits.decideRelayStep
-import corneltrack.world.RegionId
 import io.netty.handler.codec.http.HttpResponseStatus
 import java.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
 
 private const val DEFAULT_RETRY_AFTER_MS = 300L
 
-/**
- * Runs the attempts of one admitted request until the call is completed. Confined to the event loop.
- *
- * @param regions the only regions that may serve the request; empty for all.
- */
+/** Runs the attempts of one admitted request until the call is completed. Confined to the event loop. */
 internal class CallRunner(
     private val call: RelayedCall,
-    private val regions: Set<RegionId>,
     private val context: RelayContext,
 ) : AttemptOwner {
     private val completion = CallCompletion(call, context) { timer?.cancel(false) }
@@ -75,7 +69,7 @@
     }
 
     private fun startNextAttempt() {
-        when (val decision = context.chooser.choose(call, regions, context.nowMs())) {
+        when (val decision = context.chooser.choose(call, context.nowMs())) {
             is TargetDecision.Refused -> onNoTarget(decision)
             is TargetDecision.Chosen -> {
                 call.placed = true
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointAttempt.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointAttempt.kt
@@ -58,7 +58,7 @@
             context.loop,
             Listener(),
         )
-    private val timing = EventTiming(call, target)
+    private val timing = EventTiming(call, target, context.transfers)
     private var delivery: ResponseDelivery? = null
     private var notRun = false
     private var reused = false
@@ -218,7 +218,8 @@
     val sent = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, message.method, message.uri, content)
     val remainingMs = maxOf(1, times.callerDeadlineMs - context.nowMs())
     sent.headers().set(message.headers.endToEnd())
-    val metadata = AttemptMetadata(target.endpoint.id.value, workspace?.value, remainingMs, lastEventId)
+    val prefixSource = target.prefixSource?.endpoint?.address
+    val metadata = AttemptMetadata(target.endpoint.id.value, workspace?.value, remainingMs, lastEventId, prefixSource)
     context.headerMapping.writeRequest(sent.headers(), metadata)
     if (content.isReadable || message.headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
         sent.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes())
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointState.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointState.kt
@@ -5,8 +5,11 @@
 import corneltrack.policy.limits.SlidingWindowLimiter
 import corneltrack.policy.placement.EngineLoad
 import corneltrack.policy.placement.FairShareTracker
+import corneltrack.policy.placement.Generation
 import corneltrack.policy.placement.PrefixCacheEstimate
+import corneltrack.policy.placement.PrefixReports
 import corneltrack.policy.placement.ServiceLoad
+import corneltrack.policy.placement.TransferSuccess
 import corneltrack.world.EndpointId
 
 private const val COLD_START_WINDOW_MS = 1_100L
@@ -20,16 +23,25 @@
     val health = EndpointHealth()
     val engine = EngineLoad()
     val prefixes = PrefixCacheEstimate()
+    val prefixReports = PrefixReports()
     val service = ServiceLoad()
 
     /** Counts the requests started at the endpoint while it is cold. */
     val coldStarts = SlidingWindowLimiter(COLD_START_WINDOW_MS)
+
+    /** Records that the engine has processed the prompt of [generation], as its first event shows. */
+    fun onPromptProcessed(generation: Generation, nowMs: Long) =
+        prefixReports.add(prefixes.onConfirmed(generation.sharedPrefixes, nowMs), nowMs)
 }
 
-/** Holds the load of the fleet, this router's and its peers': by endpoint and by workspace. */
+/**
+ * Holds the load of the fleet, this router's and its peers', by endpoint and by workspace, and what the copies of cached
+ * prefixes between engines are worth.
+ */
 internal data class FleetLoad(
     val states: EndpointStates = EndpointStates(),
     val shares: FairShareTracker = FairShareTracker(),
+    val transfers: TransferSuccess = TransferSuccess(),
 )
 
 /** Keeps the state of each known endpoint. */
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EventTiming.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EventTiming.kt
@@ -1,7 +1,13 @@
 package corneltrack.router.relay
 
+import corneltrack.policy.placement.TransferSuccess
+
 /** Updates an endpoint's load estimate from the times of one attempt, all in ms of the monotonic clock. */
-internal class EventTiming(private val call: RelayedCall, private val target: Target) {
+internal class EventTiming(
+    private val call: RelayedCall,
+    private val target: Target,
+    private val transfers: TransferSuccess,
+) {
     private var sentMs = 0L
     private var lastEventMs = 0L
 
@@ -18,7 +24,9 @@
     fun onEvent(nowMs: Long) {
         val engine = target.state.engine
         if (lastEventMs == 0L) {
+            target.prefixSource?.let { onTransferResult(it, nowMs) }
             target.engineRequest?.let { engine.onFirstEvent(it, nowMs - sentMs - target.networkDelayMs) }
+            if (call.regions.isEmpty()) call.generation?.let { target.state.onPromptProcessed(it, nowMs) }
             if (call.firstEventMs == null) call.firstEventMs = nowMs
         } else {
             engine.onEvent(nowMs - lastEventMs, call.pool.engine?.tokensPerEvent ?: 1, nowMs)
@@ -27,6 +35,14 @@
         lastEventMs = nowMs
     }
 
+    /** Judges from the time of the first event whether the engine could copy the prefix. */
+    private fun onTransferResult(source: PrefixSource, nowMs: Long) {
+        val savingMs = source.tokens * target.state.engine.prefillMsPerToken
+        val lateMs = nowMs - sentMs - target.expected.waitMs
+        val arrived = transfers.onFirstEvent(savingMs, lateMs)
+        if (arrived == false) source.prefixes.onMissing(call.generation?.sharedPrefixes.orEmpty())
+    }
+
     /** Returns the time since the request was sent without the network delay, in ms. */
     fun processingMs(nowMs: Long): Long = maxOf(0, nowMs - sentMs - target.networkDelayMs.toLong())
 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/HeaderMapping.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/HeaderMapping.kt
@@ -31,12 +31,15 @@
  * @property workspace the workspace that the request is charged to, or null for a public route.
  * @property timeLeftMs how long the caller still waits for the response, in ms.
  * @property lastEventId the id of the last event that the caller has, if a stream is resumed; null otherwise.
+ * @property prefixSource the address of an engine from which the endpoint may copy the cached start of the prompt, or
+ *   null for none.
  */
 public data class AttemptMetadata(
     val endpoint: String,
     val workspace: String?,
     val timeLeftMs: Long,
     val lastEventId: String?,
+    val prefixSource: String? = null,
 )
 
 /**
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerDigest.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerDigest.kt
@@ -3,16 +3,27 @@
 import corneltrack.policy.Suspicion
 import corneltrack.policy.discovery.TopicWatermark
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.protobuf.ProtoIntegerType
+import kotlinx.serialization.protobuf.ProtoPacked
+import kotlinx.serialization.protobuf.ProtoType
 
 /**
- * The load of one router's requests on one endpoint.
+ * The load of one router's requests on one endpoint, and what the endpoint has lately cached for them.
  *
  * @property pendingPrefillTokens prompt tokens sent and not yet processed.
  * @property running requests that have been sent and have not ended.
  * @property kvCacheTokens KV cache tokens that these requests occupy in the engine.
+ * @property startedAtMs the incarnation of the endpoint that [cachedPrefixes] belong to.
+ * @property cachedPrefixes hashes of the shared prefixes of prompts that the engine has processed lately.
  */
 @Serializable
-internal data class EndpointDigest(val pendingPrefillTokens: Long, val running: Int, val kvCacheTokens: Long)
+internal data class EndpointDigest(
+    val pendingPrefillTokens: Long,
+    val running: Int,
+    val kvCacheTokens: Long,
+    val startedAtMs: Long = 0,
+    @ProtoPacked @ProtoType(ProtoIntegerType.FIXED) val cachedPrefixes: List<Long> = emptyList(),
+)
 
 /** What a workspace requested and was granted at one router, in tokens per second. */
 @Serializable
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
@@ -3,7 +3,6 @@
 import corneltrack.policy.Suspicion
 import corneltrack.policy.discovery.Clocks
 import corneltrack.policy.limits.ColdStartSchedule
-import corneltrack.policy.placement.LoadSummary
 import corneltrack.wire.HostAndPort
 import corneltrack.wire.event
 import corneltrack.wire.wireProtobuf
@@ -30,6 +29,9 @@
 
 private const val DIGEST_PERIOD_MS = 100L
 
+/** How many digests to one peer report the same cached prefix; makes up for lost datagrams. */
+private const val PREFIX_REPORT_COPIES = 2
+
 /** Suspicions are sent once, not periodically, so copies make up for lost datagrams. */
 private const val SUSPICION_COPIES = 3
 
@@ -120,17 +122,25 @@
 
     private fun sendDigest() {
         val nowMs = clock().monotonicMs
-        val endpoints = load.states.all().filterValues { it.engine.ownLoad.running > 0 }
-            .map { (id, state) -> id.value to state.engine.ownLoad.toDigest() }.toMap()
         val workspaces = load.shares.ownRates(nowMs)
             .map { (id, rate) -> id.value to WorkspaceDigest(rate.requested.toLong(), rate.granted.toLong()) }.toMap()
-        val idle = endpoints.isEmpty() && workspaces.isEmpty()
-        val digest = PeerDigest(settings.id.value, endpoints, workspaces)
         val recipients = peers.recipients(digestNumber++)
-        send(digest, if (idle && idleDigestSent) recipients.inRegion else recipients.inRegion + recipients.crossRegion)
+        val idle = workspaces.isEmpty() && load.states.all().values.none { it.engine.ownLoad.running > 0 }
+        sendDigest(recipients.inRegion, workspaces, nowMs)
+        if (!idle || !idleDigestSent) sendDigest(recipients.crossRegion, workspaces, nowMs)
         idleDigestSent = idle
     }
 
+    /** Reports the prefixes cached since the last digests to [group], several times over in case of loss. */
+    private fun sendDigest(group: RecipientGroup, workspaces: Map<String, WorkspaceDigest>, nowMs: Long) {
+        if (group.peers.isEmpty()) return
+        val sinceMs = nowMs - PREFIX_REPORT_COPIES * group.cycle * DIGEST_PERIOD_MS
+        val endpoints = load.states.all().mapValues { (_, state) -> state.toDigest(sinceMs) }
+            .filterValues { it.running > 0 || it.cachedPrefixes.isNotEmpty() }
+            .mapKeys { (id, _) -> id.value }
+        send(PeerDigest(settings.id.value, endpoints, workspaces), group.peers)
+    }
+
     private fun send(digest: PeerDigest, recipients: Collection<PeerRecord>) {
         val current = channel ?: return
         if (recipients.isEmpty()) return
@@ -171,4 +181,8 @@
     }
 }
 
-private fun LoadSummary.toDigest() = EndpointDigest(pendingPrefillTokens, running, kvCacheTokens)
+private fun EndpointState.toDigest(prefixesSinceMs: Long): EndpointDigest {
+    val load = engine.ownLoad
+    val prefixes = prefixReports.since(prefixesSinceMs)
+    return EndpointDigest(load.pendingPrefillTokens, load.running, load.kvCacheTokens, startedAtMs, prefixes)
+}
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerLoads.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerLoads.kt
@@ -27,7 +27,16 @@
     private fun onEndpoints(peer: InstanceId, endpoints: Map<String, EndpointDigest>, nowMs: Long) {
         val previous = reportedEndpoints.put(peer, endpoints.keys).orEmpty()
         previous.forEach { id -> if (id !in endpoints) applyLoad(peer, id, LoadSummary.EMPTY, nowMs) }
-        endpoints.forEach { (id, digest) -> applyLoad(peer, id, digest.toSummary(), nowMs) }
+        endpoints.forEach { (id, digest) ->
+            applyLoad(peer, id, digest.toSummary(), nowMs)
+            applyPrefixes(id, digest, nowMs)
+        }
+    }
+
+    /** Ignores what another incarnation of the endpoint has cached. */
+    private fun applyPrefixes(endpoint: String, digest: EndpointDigest, nowMs: Long) {
+        val state = load.states.all()[EndpointId(endpoint)] ?: return
+        if (state.startedAtMs == digest.startedAtMs) state.prefixes.onConfirmed(digest.cachedPrefixes, nowMs)
     }
 
     private fun applyLoad(peer: InstanceId, endpoint: String, summary: LoadSummary, nowMs: Long) {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerTable.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerTable.kt
@@ -1,5 +1,6 @@
 package corneltrack.router.relay
 
+import corneltrack.policy.discovery.digestCycle
 import corneltrack.policy.discovery.isDigestDue
 import corneltrack.wire.event
 import corneltrack.world.DataCentreId
@@ -21,8 +22,15 @@
 private const val DIGEST_TIMEOUT_MS = 1_500L
 private val logger = LogManager.getLogger("corneltrack.router.relay.PeerTable")
 
+/**
+ * Some of the peers that receive one digest.
+ *
+ * @property cycle the number of digests of which each of them receives one.
+ */
+internal data class RecipientGroup(val peers: List<PeerRecord>, val cycle: Int)
+
 /** The peers that receive one digest, of this region and of others. */
-internal data class Recipients(val inRegion: List<PeerRecord>, val crossRegion: List<PeerRecord>)
+internal data class Recipients(val inRegion: RecipientGroup, val crossRegion: RecipientGroup)
 
 /** The other routers that have announced themselves in the store. */
 internal class PeerTable(private val settings: RelaySettings) {
@@ -53,13 +61,16 @@
     fun recipients(number: Long): Recipients {
         val (inRegion, crossRegion) = all.partition { it.isInRegion() }
         return Recipients(
-            inRegion.filterIndexed { index, _ -> isDigestDue(number, index, inRegion.size, IN_REGION_PER_DIGEST, 1) },
-            crossRegion.filterIndexed { index, _ ->
-                isDigestDue(number, index, crossRegion.size, CROSS_REGION_PER_DIGEST, CROSS_REGION_INTERVAL)
-            },
+            inRegion.due(number, IN_REGION_PER_DIGEST, interval = 1),
+            crossRegion.due(number, CROSS_REGION_PER_DIGEST, CROSS_REGION_INTERVAL),
         )
     }
 
+    private fun List<PeerRecord>.due(number: Long, perDigest: Int, interval: Int) = RecipientGroup(
+        filterIndexed { index, _ -> isDigestDue(number, index, size, perDigest, interval) },
+        digestCycle(size, perDigest, interval),
+    )
+
     /** Adds or removes a peer by its record. Returns true, since each record counts as a change. */
     fun onRecord(record: KeyedRecord): Boolean {
         val id = InstanceId(record.key)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayContext.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayContext.kt
@@ -2,6 +2,7 @@
 
 import corneltrack.policy.limits.EndpointSignal
 import corneltrack.policy.limits.SlidingWindowRetryBudget
+import corneltrack.policy.placement.TransferSuccess
 import corneltrack.router.EndpointConnections
 import corneltrack.world.PoolId
 import io.netty.channel.EventLoop
@@ -15,6 +16,7 @@
     val eventLog: RelayEventLog,
     val metrics: RelayMetrics,
     val suspects: CrashSuspects,
+    val transfers: TransferSuccess,
     private val bounds: RelayBounds,
     private val monotonicMs: () -> Long,
 ) {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
@@ -67,6 +67,7 @@
         RelayEventLog({ routingState.table?.version }, { routingState.endpointAgeMs() }),
         metrics,
         suspects,
+        load.transfers,
         settings.bounds,
         monotonicClock,
     )
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayedCall.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayedCall.kt
@@ -4,6 +4,7 @@
 import corneltrack.router.callers.ResponseSink
 import corneltrack.router.digest
 import corneltrack.world.EndpointId
+import corneltrack.world.RegionId
 import corneltrack.world.WorkspaceId
 import corneltrack.world.routing.Route
 import corneltrack.world.routing.RoutedPool
@@ -42,6 +43,7 @@
  * @property id the request id for the log, or "-" where the caller gave none.
  * @property requestId the caller's id of the request, which tells its response from stray ones, or null if missing.
  * @property workspace the workspace that the request is charged to, or null for a public route.
+ * @property regions the only regions that may serve the request and cache its prompt; empty for all.
  * @property generation the work for a model engine, or null for other requests.
  */
 internal data class RelayedCall(
@@ -50,6 +52,7 @@
     val workspace: WorkspaceId?,
     val route: Route,
     val pool: RoutedPool,
+    val regions: Set<RegionId>,
     val generation: Generation?,
     val times: CallTimes,
     val message: CallerMessage,
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/StoreAvailability.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/StoreAvailability.kt
@@ -13,6 +13,12 @@
 private const val INITIAL_TIMEOUT_MS = 500L
 private const val MAXIMUM_TIMEOUT_MS = 2_000L
 
+/**
+ * The time without any answer of the store, to this router or its peers, that counts as an outage, in ms. Longer than the
+ * interval between two answers, shorter than an outage in which entries of live endpoints expire.
+ */
+internal const val MINIMUM_OUTAGE_MS: Long = 2_000
+
 // Keeps the former name of the class, which appears in log lines as logger=StoreWatch.
 private val logger = LogManager.getLogger("corneltrack.router.relay.StoreWatch")
 
@@ -20,7 +26,7 @@
 internal class StoreAvailability(private val topicName: String, private val clock: Clocks) {
     private var failures = 0
 
-    /** When the store last recovered from an outage, in ms of the monotonic clock; null if it has always responded. */
+    /** When the store last recovered from an outage, in ms of the monotonic clock; null if no outage was seen. */
     var recoveredMs: Long? = null
         private set
 
@@ -28,13 +34,21 @@
     val timeoutMs: Long
         get() = minOf(INITIAL_TIMEOUT_MS shl minOf(failures, MAXIMUM_DOUBLINGS), MAXIMUM_TIMEOUT_MS)
 
-    /** Records that a call got a response. */
-    fun onResponse() {
+    /**
+     * Records that a call got a response.
+     *
+     * @param unservedMs the time since the store is known to have served this router or a peer, in ms. A store that
+     *   turned away only this router has had no outage, in which entries would have expired.
+     */
+    fun onResponse(unservedMs: Long) {
         if (failures > 0) {
-            recoveredMs = clock().monotonicMs
+            val outage = unservedMs >= MINIMUM_OUTAGE_MS
+            if (outage) recoveredMs = clock().monotonicMs
             logger.event("topic_regained") {
                 field("topic", topicName)
                 field("failures", failures)
+                field("unserved_ms", unservedMs)
+                field("outage", outage)
             }
         }
         failures = 0
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TargetChooser.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TargetChooser.kt
@@ -7,6 +7,8 @@
 import corneltrack.policy.placement.Generation
 import corneltrack.policy.placement.PlacementDecision
 import corneltrack.policy.placement.PlacementRequest
+import corneltrack.policy.placement.PrefixCacheEstimate
+import corneltrack.policy.placement.PrefixCaching
 import corneltrack.policy.placement.ServiceCandidate
 import corneltrack.policy.placement.ServiceDecision
 import corneltrack.policy.placement.SizeClassAssignment
@@ -14,7 +16,6 @@
 import corneltrack.policy.placement.placeGeneration
 import corneltrack.policy.placement.placeServiceRequest
 import corneltrack.world.Endpoint
-import corneltrack.world.RegionId
 import corneltrack.world.routing.EngineProfile
 import corneltrack.world.routing.RoutedPool
 
@@ -56,11 +57,20 @@
  */
 internal data class ExpectedCost(val waitMs: Double, val prefillTokens: Int = 0, val missedTokens: Int = 0)
 
+/**
+ * Holds the engine from which the target is asked to copy a cached prefix of the prompt.
+ *
+ * @property prefixes the router's estimate of the prefixes that the source has cached.
+ * @property tokens the tokens that the target need not process if the copy arrives.
+ */
+internal class PrefixSource(val endpoint: Endpoint, val prefixes: PrefixCacheEstimate, val tokens: Int)
+
 /**
  * Holds the endpoint chosen for one attempt and the load that was added to its state.
  *
  * @property engineRequest the request as counted in the engine's load, or null where the endpoint is not an engine.
  * @property networkDelayMs the part of the time to the first event that the network takes, in ms.
+ * @property prefixSource where the engine may copy the start of the prompt from, or null if it processes all of it.
  */
 internal class Target(
     val endpoint: Endpoint,
@@ -68,6 +78,7 @@
     val engineRequest: EngineRequest?,
     val networkDelayMs: Double,
     val expected: ExpectedCost,
+    val prefixSource: PrefixSource? = null,
 )
 
 /** Describes the choice of an endpoint for an attempt. */
@@ -97,15 +108,12 @@
 ) {
     private val states = load.states
     private val shares = load.shares
+    private val transfers = load.transfers
     private val sizeClasses = SizeClassAssignment(listOf(MEDIUM_PROMPT_TOKENS, LONG_PROMPT_TOKENS))
 
-    /**
-     * Chooses an endpoint for an attempt of [call] and adds the request to the endpoint's load.
-     *
-     * @param regions the only regions that may serve the request; empty for all.
-     */
-    fun choose(call: RelayedCall, regions: Set<RegionId>, nowMs: Long): TargetDecision {
-        val eligible = eligibleEndpoints(call, regions, nowMs)
+    /** Chooses an endpoint for an attempt of [call] and adds the request to the endpoint's load. */
+    fun choose(call: RelayedCall, nowMs: Long): TargetDecision {
+        val eligible = eligibleEndpoints(call, nowMs)
         if (eligible.isEmpty()) return TargetDecision.Refused("no endpoint", NO_ENDPOINT_RETRY_MS)
         val generation = call.generation
         val engine = call.pool.engine
@@ -118,13 +126,13 @@
     }
 
     /** Returns the allowed endpoints; leaves out ejected ones and then cold ones as long as others remain. */
-    private fun eligibleEndpoints(call: RelayedCall, regions: Set<RegionId>, nowMs: Long): List<KnownEndpoint> {
+    private fun eligibleEndpoints(call: RelayedCall, nowMs: Long): List<KnownEndpoint> {
         val allowed = routingState.directory.inPool(call.pool.id).filter { known ->
             val endpoint = known.entry.endpoint
             known.entry.live &&
                 endpoint.id !in call.triedEndpoints &&
                 endpoint.dataCentre !in routingState.evacuated &&
-                (regions.isEmpty() || settings.regions[endpoint.dataCentre] in regions)
+                (call.regions.isEmpty() || settings.regions[endpoint.dataCentre] in call.regions)
         }
         val healthy = allowed.filterNot { states.of(it).health.isEjected(nowMs) }
         val usable = healthy.ifEmpty { allowed }
@@ -167,10 +175,13 @@
         val retentionMs = retentionMs(engine, routingState.directory.inPool(call.pool.id).size)
         val endpoints = eligible.associateBy { it.entry.endpoint.id }
         val classesAbove = sizeClasses.eligibleEngines(generation, endpoints.keys)
-        val candidates = eligible.mapNotNull { known ->
-            classesAbove[known.entry.endpoint.id]?.let { known.engineCandidate(engine, SIZE_CLASS_PENALTY_MS * it) }
+        val sources = eligible.map { known ->
+            val penaltyMs = SIZE_CLASS_PENALTY_MS * (classesAbove[known.entry.endpoint.id] ?: 0)
+            known.engineCandidate(engine, penaltyMs)
         }
-        return when (val decision = placeGeneration(request, candidates, retentionMs, nowMs)) {
+        val candidates = sources.filter { it.id in classesAbove }
+        val caching = PrefixCaching(retentionMs, engine.transferMsPerToken, transfers.rate)
+        return when (val decision = placeGeneration(request, candidates, caching, nowMs, sources)) {
             is PlacementDecision.Refused -> {
                 val reason = "${decision.reason.name.lowercase()}, wait ${decision.expectedWaitMs.toLong()} ms"
                 TargetDecision.Refused(reason, decision.retryAfterMs)
@@ -182,8 +193,19 @@
                 state.prefixes.onSent(generation.segments, nowMs, retentionMs)
                 val expected =
                     ExpectedCost(decision.expectedWaitMs, decision.prefillTokens, decision.missedTokens)
+                val source = decision.transfer?.let { transfer ->
+                    val endpoint = endpoints.getValue(transfer.source.id)
+                    PrefixSource(endpoint.entry.endpoint, states.of(endpoint).prefixes, transfer.tokens)
+                }
                 TargetDecision.Chosen(
-                    Target(known.entry.endpoint, state, engineRequest, decision.candidate.networkDelayMs, expected),
+                    Target(
+                        known.entry.endpoint,
+                        state,
+                        engineRequest,
+                        decision.candidate.networkDelayMs,
+                        expected,
+                        source,
+                    ),
                 )
             }
         }
@@ -219,6 +241,7 @@
             batchSlots = if (entry.concurrency > 0) entry.concurrency else engine.batchSlots,
             kvCacheTokens = engine.kvCacheTokens,
             networkDelayMs = delayMs,
+            dataCentre = entry.endpoint.dataCentre,
             penaltyMs = sizeClassPenaltyMs + if (otherRegion) OTHER_REGION_PENALTY_MS else 0.0,
         )
     }
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/TopicFollowerTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/TopicFollowerTest.kt
@@ -7,6 +7,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertNotNull
+import kotlin.test.assertNull
 import kotlin.test.assertTrue
 
 private const val STEP_MS = 10L
@@ -129,6 +130,56 @@
         assertEquals(fullLoads + 1, store.fullLoads)
     }
 
+    @Test
+    fun `a store that turns away one router and serves its peer has had no outage`() {
+        startBoth()
+        store.refuses = { it === follower }
+        store.put("endpoint", "leaving")
+        advance(9_000)
+
+        store.refuses = { false }
+        advance(2_000)
+
+        assertEquals("leaving", applied.last())
+        assertNull(follower.storeRecoveredMs, "the recovery of a store that served the polling router all along")
+    }
+
+    @Test
+    fun `a router that the store served ignores the outage that a peer reports`() {
+        startBoth()
+        val watermark = assertNotNull(poller.watermark())
+
+        deliver(watermark.copy(storeRecoveredAgeMs = 10))
+
+        assertNull(follower.storeRecoveredMs)
+    }
+
+    @Test
+    fun `all routers learn when a store that served none of them recovers`() {
+        startBoth()
+        store.refuses = { true }
+        advance(5_000)
+        val recoveredMs = nowMs
+
+        store.refuses = { false }
+        advance(2_000)
+
+        listOf(poller, follower).forEach {
+            assertTrue(assertNotNull(it.storeRecoveredMs) in recoveredMs..nowMs, "found ${it.storeRecoveredMs}")
+        }
+    }
+
+    @Test
+    fun `a router that started after an outage takes its end from a peer`() {
+        startBoth()
+        val watermark = assertNotNull(poller.watermark())
+        val recoveredBeforeStartMs = 5_000L
+
+        deliver(watermark.copy(storeRecoveredAgeMs = recoveredBeforeStartMs))
+
+        assertEquals(nowMs - recoveredBeforeStartMs, follower.storeRecoveredMs)
+    }
+
     private fun startBoth() {
         store.put("endpoint", "ready")
         poller.start()
--- a/corneltrack-world/src/main/kotlin/corneltrack/world/routing/RoutingTable.kt
+++ b/corneltrack-world/src/main/kotlin/corneltrack/world/routing/RoutingTable.kt
@@ -10,8 +10,15 @@
  * @property batchSlots the number of requests that one engine runs at once.
  * @property kvCacheTokens the number of tokens that one engine's KV cache holds.
  * @property tokensPerEvent the number of generated tokens in one event of a stream.
+ * @property transferMsPerToken the time to copy one token's KV cache from another engine of the pool, in ms; null if
+ *   the engines cannot copy it.
  */
-public data class EngineProfile(val batchSlots: Int, val kvCacheTokens: Long, val tokensPerEvent: Int)
+public data class EngineProfile(
+    val batchSlots: Int,
+    val kvCacheTokens: Long,
+    val tokensPerEvent: Int,
+    val transferMsPerToken: Double? = null,
+)
 
 /**
  * Describes a pool of interchangeable endpoints.
