--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/EnginePlacement.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/EnginePlacement.kt
@@ -19,6 +19,9 @@
  */
 private const val MISS_LIMIT_WEIGHT = 20.0
 
+/** What a copied token counts in place of a missed one in both penalties: a copy displaces another prefix as well. */
+private const val COPIED_TOKEN_WEIGHT = 0.5
+
 /** The pending prefill tokens at which an engine counts as fully utilized. */
 private const val BUSY_PREFILL_TOKENS = 8_000.0
 
@@ -179,9 +182,10 @@
     private val total = load.total(nowMs)
     val prefillTokens = (generation.promptTokens - prefix.tokens).toInt().coerceAtLeast(0)
     val waitMs = FIRST_EVENT_OVERHEAD_MS + (total.pendingPrefillTokens + prefillTokens) * load.prefillMsPerToken +
-        candidate.networkDelayMs
+        (prefix.transfer?.durationMs ?: 0.0) + candidate.networkDelayMs
     val missedTokens = (generation.sharedTokens - prefix.tokens).toInt().coerceAtLeast(0)
-    private val missMs = missedTokens * load.prefillMsPerToken + (prefix.transfer?.durationMs ?: 0.0)
+    private val copiedTokens = minOf(prefix.transfer?.tokens ?: 0, generation.sharedTokens)
+    private val missMs = (missedTokens + COPIED_TOKEN_WEIGHT * copiedTokens) * load.prefillMsPerToken
     val score = waitMs - candidate.networkDelayMs + candidate.penaltyMs + MISS_SCORE_WEIGHT * missMs
     private val queueMs =
         FIRST_EVENT_OVERHEAD_MS + total.pendingPrefillTokens * load.prefillMsPerToken + candidate.networkDelayMs
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/FakeTopic.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/FakeTopic.kt
@@ -19,6 +19,12 @@
     @Volatile
     var oldestOffset: Long = 0
 
+    /** Whether a follower has asked for the records after the newest one, and so has handled all. */
+    val consumed: Boolean get() = lastReadFrom >= records.size
+
+    @Volatile
+    private var lastReadFrom = 0L
+
     val topic: KeyedTopic = KeyedTopic(
         newest = { after, _, onResponse -> newest(after, onResponse) },
         read = { from, waitMs, _, onResponse -> read(from, waitMs, onResponse) },
@@ -35,7 +41,8 @@
         TopicResponse.Newest(newest, null, records.size.toLong())
     }
 
-    private fun read(from: Long, waitMs: Long, onResponse: (TopicResponse) -> Unit) =
+    private fun read(from: Long, waitMs: Long, onResponse: (TopicResponse) -> Unit) {
+        lastReadFrom = from
         respond(minOf(waitMs, MAXIMUM_WAIT_MS), onResponse) {
             if (from < oldestOffset) {
                 TopicResponse.Expired
@@ -44,6 +51,7 @@
                 TopicResponse.Records(records.drop(from.toInt()), end, end)
             }
         }
+    }
 
     private fun write(key: String, value: ByteArray?, onDone: (Boolean) -> Unit) {
         records += KeyedRecord(key, value, records.size.toLong())
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayFixture.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayFixture.kt
@@ -1,6 +1,8 @@
 package corneltrack.router.relay
 
 import corneltrack.policy.placement.Generation
+import corneltrack.policy.placement.PromptSegment
+import corneltrack.policy.placement.promptSegments
 import corneltrack.wire.HostAndPort
 import corneltrack.world.DataCentreId
 import corneltrack.world.Endpoint
@@ -22,6 +24,7 @@
 import corneltrack.world.routing.WeightedPool
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
+import io.netty.handler.codec.http.HttpHeaders
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
@@ -91,6 +94,9 @@
         endpoints.put(name, "$name/$sequence")
     }
 
+    /** Waits until the router has read the records of all endpoints. */
+    fun awaitEndpointsRead() = await("the router to read the endpoints") { endpoints.consumed }
+
     /** Writes the operators' record that evacuates [dataCentre]. */
     fun evacuate(dataCentre: String) = operator.put(dataCentre, "")
 
@@ -147,7 +153,7 @@
         }
 
     private fun table(version: Long): RoutingTable {
-        val engines = RoutedPool(PoolId("engines"), "/", EngineProfile(4, 100_000, 1), 10, 0.0)
+        val engines = RoutedPool(PoolId("engines"), "/", EngineProfile(4, 100_000, 1, transferMsPerToken = 0.0001), 10, 0.0)
         val services = RoutedPool(PoolId("services"), "/", null, 10, 0.0)
         val workspaces = listOf(RoutedWorkspace(WorkspaceId("workspace"), setOf("key"), null, emptySet()))
         val routes = listOf(
@@ -205,6 +211,12 @@
 
 private fun freePort(): Int = ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
 
+/** Parses the segments of a prompt, as NAME:TOKENS separated by commas. */
+private fun testSegments(headers: HttpHeaders): List<PromptSegment> {
+    val entries = headers.get("prefix").orEmpty().split(',').filter { it.isNotEmpty() }.map { it.split(':') }
+    return promptSegments(entries.map { it[0].toLong() }, entries.map { it[1].toInt() })
+}
+
 private val testHeaderMapping = HeaderMapping(
     readRequest = { head ->
         val headers = head.headers()
@@ -214,14 +226,15 @@
             path = head.uri().substringBefore('?'),
             apiKey = headers.get("key"),
             timeLeftMs = headers.get("left")?.toLong(),
-            generation = headers.get("tokens")?.toInt()?.let { Generation(emptyList(), it, 1) },
+            generation = headers.get("tokens")?.toInt()?.let { Generation(testSegments(headers), it, 1) },
         )
     },
     writeRequest = { headers, metadata ->
-        headers.remove("key")
+        headers.remove("key").remove("copy-from")
         headers.set("endpoint", metadata.endpoint).set("left", metadata.timeLeftMs)
         metadata.workspace?.let { headers.set("workspace", it) }
         metadata.lastEventId?.let { headers.set("last-event", it) }
+        metadata.prefixSource?.let { headers.set("copy-from", it) }
     },
     readResponse = { head ->
         val headers = head.headers()
