--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/EnginePlacement.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/EnginePlacement.kt
@@ -19,8 +19,8 @@
  */
 private const val MISS_LIMIT_WEIGHT = 20.0
 
-/** What a copied token counts in the score in place of a missed one: a copy displaces another prefix as well. */
-private const val COPIED_SCORE_WEIGHT = 0.5
+/** What a copied token counts in place of a missed one in both penalties: a copy displaces another prefix as well. */
+private const val COPIED_TOKEN_WEIGHT = 0.5
 
 /** The pending prefill tokens at which an engine counts as fully utilized. */
 private const val BUSY_PREFILL_TOKENS = 8_000.0
@@ -185,9 +185,9 @@
     val waitMs = FIRST_EVENT_OVERHEAD_MS + (total.pendingPrefillTokens + prefillTokens) * load.prefillMsPerToken +
         copyMs + candidate.networkDelayMs
     val missedTokens = (generation.sharedTokens - prefix.tokens).toInt().coerceAtLeast(0)
-    private val missMs = missedTokens * load.prefillMsPerToken + copyMs
-    private val displacedMs = COPIED_SCORE_WEIGHT * (prefix.transfer?.tokens ?: 0) * load.prefillMsPerToken
-    val score = waitMs - candidate.networkDelayMs + candidate.penaltyMs + MISS_SCORE_WEIGHT * (missMs + displacedMs)
+    private val copiedTokens = prefix.transfer?.tokens ?: 0
+    private val missMs = (missedTokens + COPIED_TOKEN_WEIGHT * copiedTokens) * load.prefillMsPerToken
+    val score = waitMs - candidate.networkDelayMs + candidate.penaltyMs + MISS_SCORE_WEIGHT * missMs
     private val queueMs =
         FIRST_EVENT_OVERHEAD_MS + total.pendingPrefillTokens * load.prefillMsPerToken + candidate.networkDelayMs
     private val finishMs = waitMs + generation.outputTokens * load.decodeMsPerToken
