--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/Target.kt
@@ -0,0 +1,51 @@
+package corneltrack.router.relay
+
+import corneltrack.policy.placement.EngineRequest
+import corneltrack.policy.placement.PrefixCacheEstimate
+import corneltrack.world.Endpoint
+
+/**
+ * Holds the expected cost of one attempt.
+ *
+ * @property waitMs the time to the first event or to the complete response, in ms.
+ * @property prefillTokens the prompt tokens that the engine has to process.
+ * @property missedTokens the tokens among them that belong to shared prefixes.
+ */
+internal data class ExpectedCost(val waitMs: Double, val prefillTokens: Int = 0, val missedTokens: Int = 0)
+
+/**
+ * Holds the engine from which the target is asked to copy a cached prefix of the prompt.
+ *
+ * @property prefixes the router's estimate of the prefixes that the source has cached.
+ * @property tokens the tokens that the target need not process if the copy arrives.
+ */
+internal class PrefixSource(val endpoint: Endpoint, val prefixes: PrefixCacheEstimate, val tokens: Int)
+
+/**
+ * Holds the endpoint chosen for one attempt and the load that was added to its state.
+ *
+ * @property engineRequest the request as counted in the engine's load, or null where the endpoint is not an engine.
+ * @property networkDelayMs the part of the time to the first event that the network takes, in ms.
+ * @property prefixSource where the engine may copy the start of the prompt from, or null if it processes all of it.
+ */
+internal class Target(
+    val endpoint: Endpoint,
+    val state: EndpointState,
+    val engineRequest: EngineRequest?,
+    val networkDelayMs: Double,
+    val expected: ExpectedCost,
+    val prefixSource: PrefixSource? = null,
+)
+
+/** Describes the choice of an endpoint for an attempt. */
+internal sealed interface TargetDecision {
+    /** The attempt is sent to [target]. */
+    data class Chosen(val target: Target) : TargetDecision
+
+    /**
+     * No endpoint can serve the request in time.
+     *
+     * @property retryAfterMs when the caller may try again, in ms from now.
+     */
+    data class Refused(val reason: String, val retryAfterMs: Long) : TargetDecision
+}
