Take the listening socket from its selector before it closes

The JDK closes a socket that is registered with a selector only in the next selection; until then the kernel went on to establish connections, which were then reset.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerServer.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerServer.kt
@@ -14,6 +14,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.flush.FlushConsolidationHandler
 import java.net.InetSocketAddress
+import java.nio.channels.SelectionKey
 
 private const val LOW_WATER_BYTES = 32_768
 private const val HIGH_WATER_BYTES = 131_072
@@ -71,14 +72,22 @@
 }
 
 /**
- * A listening channel that accepts the connections in its backlog before it closes.
+ * A listening channel that accepts the connections in its backlog right before it closes.
  *
  * Answers a planned stop under load: closing a listening socket resets the connections in its backlog, on which callers
  * may already have sent their requests.
  */
 internal class AcceptingServerChannel : NioServerSocketChannel() {
     override fun doClose() {
+        leaveSelector()
         generateSequence { javaChannel().accept() }.forEach { pipeline().fireChannelRead(NioSocketChannel(this, it)) }
         super.doClose()
     }
+
+    /** The JDK closes a socket that a selector knows only in a later selection, until when it would still listen. */
+    private fun leaveSelector() {
+        val key = (if (isRegistered) registration().attachment<Any>() else null) as? SelectionKey ?: return
+        key.cancel()
+        key.selector().selectNow()
+    }
 }
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/callers/CallerServerTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/callers/CallerServerTest.kt
@@ -6,6 +6,7 @@
 import io.netty.channel.nio.NioIoHandler
 import io.netty.handler.codec.http.HttpResponseStatus
 import java.net.Socket
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import kotlin.test.AfterTest
@@ -54,6 +55,18 @@
         assertTrue(connections.awaitClosed(monotonicClock, CLOSE_TIMEOUT_MS), "open: ${connections.openCount}")
     }
 
+    @Test
+    fun `a server that stops listens no longer than it accepts`() {
+        val connectedAfterwards = CompletableFuture<Boolean>()
+        val port = server.port
+        group.next().execute {
+            server.stopListening()
+            connectedAfterwards.complete(runCatching { Socket("127.0.0.1", port).close() }.isSuccess)
+        }
+
+        assertFalse(connectedAfterwards.get(), "connected to a server that accepts no more")
+    }
+
     @Test
     fun `a connection without a request holds up a stop only until the timeout`() {
         val caller = connect()
