Assume less of preferred engines, weigh misses more under overload, and keep requests in their region

The second choice is gone.

EnginePlacementTest: the engine without a free slot now has the prompt's prefix, so that the slot alone is the reason; the new default assumes less of an engine than the test relied on. A model of engines in virtual time plays the load in PlacementUnderLoadTest.

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/EnginePlacement.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/EnginePlacement.kt
@@ -4,11 +4,10 @@
 import corneltrack.world.EndpointId
 
 /**
- * The fractions of a shared prefix that the preferred engine and the second choice are assumed to have cached, even if
- * this router sent them no such prompt: other routers prefer the same engines.
+ * The fraction of a shared prefix that the preferred engine is assumed to have cached without evidence: other routers
+ * prefer the same engine.
  */
-private const val PREFERRED_CACHED_FRACTION = 1.0
-private const val SECOND_CACHED_FRACTION = 0.5
+private const val PREFERRED_CACHED_FRACTION = 0.6
 
 /** The penalty in the score for prefilling missed tokens, as a multiple of their prefill time. */
 private const val MISS_SCORE_WEIGHT = 20.0
@@ -17,7 +16,7 @@
  * The penalty against the wait limits for prefilling missed tokens at a fully utilized engine, as a multiple of their
  * prefill time: under overload, processing a prefix again takes capacity from other requests.
  */
-private const val MISS_LIMIT_WEIGHT = 20.0
+private const val MISS_LIMIT_WEIGHT = 40.0
 
 /** What a copied token counts in place of a missed one in both penalties: a copy displaces another prefix as well. */
 private const val COPIED_TOKEN_WEIGHT = 0.5
@@ -221,24 +220,18 @@
     sources: PrefixSources,
     nowMs: Long,
 ): List<Pair<EngineCandidate, AvailablePrefix>> {
-    val (preferred, second) = preferredEngines(generation)
+    val preferred = preferredEngine(generation)
     return map { candidate ->
         val observed = candidate.prefixCache.cachedTokens(generation.segments, nowMs, caching.retentionMs)
-        val assumed = when (candidate) {
-            preferred -> PREFERRED_CACHED_FRACTION
-            second -> SECOND_CACHED_FRACTION
-            else -> 0.0
-        } * generation.sharedTokens
+        val assumed = if (candidate === preferred) PREFERRED_CACHED_FRACTION * generation.sharedTokens else 0.0
         val transfer = sources.transferTo(candidate, observed)
         val copied = (transfer?.tokens ?: 0) * caching.transferSuccessRate
         candidate to AvailablePrefix(maxOf(observed + copied, assumed), transfer)
     }
 }
 
-/** Returns the preferred engine for the shared prefix and the second choice, by rendezvous hashing; null if absent. */
-private fun List<EngineCandidate>.preferredEngines(generation: Generation): Pair<EngineCandidate?, EngineCandidate?> {
-    val key = generation.lastSharedSegment?.prefixHash ?: return null to null
-    val rank = { candidate: EngineCandidate -> mixHash(key, candidate.id.value.hashCode().toLong()) }
-    val preferred = minByOrNull(rank)
-    return preferred to filter { it !== preferred }.minByOrNull(rank)
+/** Returns the preferred engine for the shared prefix, by rendezvous hashing; null if there is none. */
+private fun List<EngineCandidate>.preferredEngine(generation: Generation): EngineCandidate? {
+    val key = generation.lastSharedSegment?.prefixHash ?: return null
+    return minByOrNull { mixHash(key, it.id.value.hashCode().toLong()) }
 }
--- a/corneltrack-policy/src/test/kotlin/corneltrack/policy/placement/EnginePlacementTest.kt
+++ b/corneltrack-policy/src/test/kotlin/corneltrack/policy/placement/EnginePlacementTest.kt
@@ -97,6 +97,7 @@
     @Test
     fun `an engine without a free batch slot or KV cache is not chosen`() {
         val full = engine("full", batchSlots = 1).also { it.load.onSent(generation(9, 0, 10), 10, 0) }
+        full.prefixCache.onSent(request.generation.segments, 0, RETENTION_MS)
         val small = engine("small", kvCacheTokens = 1_000)
 
         assertEquals(RefusalReason.NO_PLACE, refusal(listOf(full)))
--- /dev/null
+++ b/corneltrack-policy/src/test/kotlin/corneltrack/policy/placement/PlacementUnderLoadTest.kt
@@ -0,0 +1,56 @@
+package corneltrack.policy.placement
+
+import kotlin.test.Test
+import kotlin.test.assertTrue
+
+/** The share of the prompt tokens that may be prefilled again although an engine had them, as the project's target. */
+private const val MAXIMUM_READ_AGAIN_SHARE = 0.1
+
+/**
+ * Plays loads of long shared prefixes against model engines and checks what callers get.
+ *
+ * The heavy load asks for nearly what the engines can process if no prefix is processed twice.
+ */
+class PlacementUnderLoadTest {
+    private val heavy = FleetLoadPlan()
+    private val seeds = 1..3
+
+    @Test
+    fun `with copies shared prefixes make up less than a tenth of the tokens processed again`() {
+        seeds.map { play(heavy, it) }.forEach {
+            assertTrue(it.readAgainShare < MAXIMUM_READ_AGAIN_SHARE, "processed again: ${it.readAgainShare}, $it")
+        }
+    }
+
+    @Test
+    fun `copies let more callers get their first event in time under a heavy load`() {
+        seeds.forEach { seed ->
+            val copying = play(heavy, seed)
+            val reading = play(heavy.copy(transferMsPerToken = null), seed)
+
+            assertTrue(copying.inTime > reading.inTime, "with copies $copying, without $reading")
+        }
+    }
+
+    @Test
+    fun `routers that tell each other who has a prefix serve more callers in time than silent ones`() {
+        seeds.forEach { seed ->
+            val told = play(heavy, seed)
+            val silent = play(heavy.copy(sharesPrefixes = false), seed)
+
+            assertTrue(told.inTime > silent.inTime, "told $told, silent $silent")
+        }
+    }
+
+    @Test
+    fun `where copies never arrive callers get about what they get without copies`() {
+        seeds.forEach { seed ->
+            val failing = play(heavy.copy(copyFails = true), seed)
+            val reading = play(heavy.copy(transferMsPerToken = null), seed)
+
+            assertTrue(failing.inTimeShare > reading.inTimeShare - 0.1, "failing $failing, without copies $reading")
+        }
+    }
+
+    private fun play(plan: FleetLoadPlan, seed: Int) = EngineFleetModel(plan.copy(seed = seed)).play()
+}
--- a/corneltrack-policy/src/test/kotlin/corneltrack/policy/placement/PrefixTransferTest.kt
+++ b/corneltrack-policy/src/test/kotlin/corneltrack/policy/placement/PrefixTransferTest.kt
@@ -38,7 +38,7 @@
     fun `a request that would be refused for reading a prefix again is served where the prefix can be copied`() {
         val holder = holderOfPrefix()
         holder.occupy()
-        engines.filter { it !== holder }.forEach { it.load.onSent(generation(9, 0, 2_000), 2_000, 0) }
+        engines.filter { it !== holder }.forEach { it.load.onSent(generation(9, 0, 1_000), 1_000, 0) }
 
         assertIs<PlacementDecision.Refused>(place(NOT_COPYING))
         assertIs<PlacementDecision.Chosen>(place(COPYING.copy(transferSuccessRate = 1.0)))
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EngineChooser.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EngineChooser.kt
@@ -13,8 +13,8 @@
 import corneltrack.world.EndpointId
 import corneltrack.world.routing.EngineProfile
 
-/** The cost of the bytes of one response between regions, expressed as engine time. */
-private const val OTHER_REGION_PENALTY_MS = 5.0
+/** The cost of the bytes of one request and its response between regions, expressed as engine time. */
+private const val OTHER_REGION_PENALTY_MS = 60.0
 
 /** Per size class; keeps shorter prompts off the engines of longer ones unless their own have long queues. */
 private const val SIZE_CLASS_PENALTY_MS = 150.0
