--- a/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerServer.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerServer.kt
@@ -65,9 +65,10 @@
     /** Stops listening; connections that the kernel has established by then are still accepted and served. */
     fun stopListening(): ChannelFuture? = channel?.close()
 
-    /** Stops listening and waits until that is done. */
+    /** Stops listening, and waits until that is done and each accepted connection is known to its handler. */
     override fun close() {
         stopListening()?.sync()
+        workers.forEach { loop -> loop.submit { }.sync() }
     }
 }
 
