--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/discovery/DigestSchedule.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/discovery/DigestSchedule.kt
@@ -10,7 +10,8 @@
  * @param index the index of the peer among all [peers].
  * @param interval the number of digests of which each peer gets one if there are no more than [perDigest] peers.
  */
-public fun isDigestDue(digest: Long, index: Int, peers: Int, perDigest: Int, interval: Int): Boolean = (digest + index) % digestCycle(peers, perDigest, interval) == 0L
+public fun isDigestDue(digest: Long, index: Int, peers: Int, perDigest: Int, interval: Int): Boolean =
+    (digest + index) % digestCycle(peers, perDigest, interval) == 0L
 
 /** Returns the number of digests of which each peer gets one; see [isDigestDue]. */
 public fun digestCycle(peers: Int, perDigest: Int, interval: Int): Int =
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/PrefixTransfer.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/PrefixTransfer.kt
@@ -62,15 +62,13 @@
         }
 
     /** Returns the best copy to [target], which has [cachedTokens] itself; null if a copy saves too little. */
-    fun transferTo(target: EngineCandidate, cachedTokens: Int): PrefixTransfer? {
-        val msPerToken = caching.transferMsPerToken ?: return null
-        val source = holders.filter { it.engine !== target && it.tokens > cachedTokens }
-            .maxWithOrNull(compareBy({ it.tokens }, { it.engine.dataCentre == target.dataCentre })) ?: return null
-        val tokens = source.tokens - cachedTokens
-        val durationMs = TRANSFER_SETUP_MS + tokens * msPerToken
-        val worthwhile = tokens * target.load.prefillMsPerToken >= MINIMUM_TRANSFER_GAIN * durationMs
-        return if (worthwhile) PrefixTransfer(source.engine, tokens, durationMs) else null
-    }
+    fun transferTo(target: EngineCandidate, cachedTokens: Int): PrefixTransfer? =
+        holders.filter { it.engine !== target && it.tokens > cachedTokens }
+            .maxWithOrNull(compareBy({ it.tokens }, { it.engine.dataCentre == target.dataCentre }))
+            ?.let { PrefixTransfer(it.engine, it.tokens - cachedTokens, durationMs(it.tokens - cachedTokens)) }
+            ?.takeIf { it.tokens * target.load.prefillMsPerToken >= MINIMUM_TRANSFER_GAIN * it.durationMs }
+
+    private fun durationMs(tokens: Int) = TRANSFER_SETUP_MS + tokens * (caching.transferMsPerToken ?: 0.0)
 }
 
 /**
--- a/corneltrack-policy/src/test/kotlin/corneltrack/policy/placement/EngineFleetModel.kt
+++ b/corneltrack-policy/src/test/kotlin/corneltrack/policy/placement/EngineFleetModel.kt
@@ -12,6 +12,7 @@
 private const val DIGEST_PERIOD_MS = 200.0
 private const val DECODE_MS = 2_000.0
 private const val OUTPUT_TOKENS = 120
+private const val PAUSE_MS = 2_000.0
 
 /**
  * Describes a load of prompts with long shared prefixes on a fleet of engines.
@@ -22,6 +23,10 @@
  * @property transferMsPerToken the time to copy a token's KV cache, in ms; null if engines cannot copy.
  * @property sharesPrefixes whether routers tell each other which engine has which prefix.
  * @property copyFails whether copies never arrive, whatever routers believe.
+ * @property enginesLosingCaches how many engines lose their caches half way through, unnoticed by the routers.
+ * @property cutRouters how many routers neither send nor receive digests.
+ * @property pausedRouters how many routers send no digest and take no request for two seconds half way through, after
+ *   which they decide on beliefs of that age.
  */
 internal data class FleetLoadPlan(
     val engines: Int = 13,
@@ -36,6 +41,9 @@
     val transferMsPerToken: Double? = 0.0002,
     val sharesPrefixes: Boolean = true,
     val copyFails: Boolean = false,
+    val enginesLosingCaches: Int = 0,
+    val cutRouters: Int = 0,
+    val pausedRouters: Int = 0,
     val seed: Int = 1,
 )
 
@@ -46,8 +54,8 @@
 }
 
 /**
- * Plays a load against engines in virtual time: each prefills in order of arrival, keeps prefixes until less recently
- * used ones must yield, and copies a prefix only if the source still has it. Routers see first events and digests alone.
+ * Plays a load against engines in virtual time: each prefills in order of arrival, evicts the least recently used
+ * prefix, and copies a prefix only if the source still has it. Routers see first events and digests alone.
  */
 internal class EngineFleetModel(private val plan: FleetLoadPlan) {
     private class Event(val atMs: Double, val action: () -> Unit)
@@ -67,19 +75,24 @@
         fun unread(generation: Generation, source: Engine?): Int {
             val kept = generation.segments.filter { it.prefixHash in cached }.sumOf { it.tokens }
             val copied = generation.segments
-                .filter { !plan.copyFails && it.prefixHash !in cached && source?.cached?.contains(it.prefixHash) == true }
+                .filter { it.prefixHash !in cached && source?.cached?.contains(it.prefixHash) == true }
                 .sumOf { it.tokens }
-            return generation.promptTokens - kept - copied
+            return generation.promptTokens - kept - (if (plan.copyFails) 0 else copied)
         }
     }
 
     /** A router with its view of each engine. */
     private inner class Router(val index: Int) {
+        val cut = index < plan.cutRouters
+
+        fun isPaused() = index < plan.pausedRouters && nowMs in halfMs..halfMs + PAUSE_MS
+
         val views = List(plan.engines) { engine("engine-$it") }
         val reports = List(plan.engines) { PrefixReports() }
         val success = TransferSuccess()
     }
 
+    private val halfMs = plan.seconds * 500.0
     private val random = Random(plan.seed)
     private val events = PriorityQueue<Event>(compareBy { it.atMs })
     private val engines = List(plan.engines) { Engine() }
@@ -95,14 +108,19 @@
         var arrivalMs = 0.0
         while (arrivalMs < plan.seconds * 1_000) {
             arrivalMs += -ln(1 - random.nextDouble()) * 1_000 / plan.requestsPerSecond
-            at(arrivalMs) { arrive(routers.random(random)) }
+            at(arrivalMs) { arrive(routers.filterNot { it.isPaused() }.random(random)) }
         }
         var digestMs = DIGEST_PERIOD_MS
         while (digestMs < plan.seconds * 1_000) {
-            at(digestMs) { routers.forEach(::sendDigest) }
+            at(digestMs) { routers.filterNot { it.isPaused() }.forEach(::sendDigest) }
             digestMs += DIGEST_PERIOD_MS
         }
-        while (events.isNotEmpty()) events.poll().let { event -> nowMs = event.atMs; event.action() }
+        at(halfMs) { engines.take(plan.enginesLosingCaches).forEach { it.cached.clear() } }
+        while (events.isNotEmpty()) {
+            val event = events.poll()
+            nowMs = event.atMs
+            event.action()
+        }
         return FleetOutcome(asked, inTime, readTokens, readAgainTokens)
     }
 
@@ -159,7 +177,7 @@
         val sinceMs = (nowMs - 2 * DIGEST_PERIOD_MS).toLong()
         sender.views.forEachIndexed { index, view ->
             val prefixes = if (plan.sharesPrefixes) sender.reports[index].since(sinceMs) else emptyList()
-            routers.filter { it !== sender }.forEach { receiver ->
+            routers.filter { it !== sender && !it.cut && !sender.cut && !it.isPaused() }.forEach { receiver ->
                 val known = receiver.views[index]
                 known.load.onPeer(InstanceId("router-${sender.index}"), view.load.ownLoad, nowMs.toLong())
                 known.prefixCache.onConfirmed(prefixes, nowMs.toLong())
--- a/corneltrack-policy/src/test/kotlin/corneltrack/policy/placement/PlacementUnderLoadTest.kt
+++ b/corneltrack-policy/src/test/kotlin/corneltrack/policy/placement/PlacementUnderLoadTest.kt
@@ -6,6 +6,9 @@
 /** The share of the prompt tokens that may be prefilled again although an engine had them, as the project's target. */
 private const val MAXIMUM_READ_AGAIN_SHARE = 0.1
 
+/** The share of callers by which two plays may differ because the same requests are placed elsewhere. */
+private const val CHANCE_SHARE = 0.02
+
 /**
  * Plays loads of long shared prefixes against model engines and checks what callers get.
  *
@@ -52,5 +55,28 @@
         }
     }
 
+    @Test
+    fun `engines that lose their caches unnoticed cost callers no more than they would without copies`() {
+        assertNoWorseThanWithoutCopies(heavy.copy(enginesLosingCaches = 4))
+    }
+
+    @Test
+    fun `routers cut off from the others cost callers no more than they would without copies`() {
+        assertNoWorseThanWithoutCopies(heavy.copy(cutRouters = 3))
+    }
+
+    @Test
+    fun `routers that were paused cost callers no more than they would without copies`() {
+        assertNoWorseThanWithoutCopies(heavy.copy(pausedRouters = 3))
+    }
+
+    private fun assertNoWorseThanWithoutCopies(plan: FleetLoadPlan) = seeds.forEach { seed ->
+        val copying = play(plan, seed)
+        val reading = play(plan.copy(transferMsPerToken = null), seed)
+
+        val byChance = copying.asked * CHANCE_SHARE
+        assertTrue(copying.inTime >= reading.inTime - byChance, "with copies $copying, without $reading, $plan")
+    }
+
     private fun play(plan: FleetLoadPlan, seed: Int) = EngineFleetModel(plan.copy(seed = seed)).play()
 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EligibleEndpoints.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EligibleEndpoints.kt
@@ -16,8 +16,8 @@
     private val isColdStartTurn: (ColdStartSchedule) -> Boolean,
 ) {
     /**
-     * Returns the allowed endpoints for the next attempt of [call]; leaves out ejected ones and then cold ones as long as
-     * others remain.
+     * Returns the allowed endpoints for the next attempt of [call]; leaves out ejected ones and then cold ones as long
+     * as others remain.
      */
     fun forCall(call: RelayedCall, nowMs: Long): List<KnownEndpoint> {
         val allowed = routingState.directory.inPool(call.pool.id).filter { known -> isAllowed(call, known) }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointState.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointState.kt
@@ -35,8 +35,8 @@
 }
 
 /**
- * Holds the load of the fleet, this router's and its peers', by endpoint and by workspace, and what the copies of cached
- * prefixes between engines are worth.
+ * Holds the load of the fleet, this router's and its peers', by endpoint and by workspace, and how often copies of
+ * cached prefixes arrive.
  */
 internal data class FleetLoad(
     val states: EndpointStates = EndpointStates(),
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
@@ -126,21 +126,13 @@
             .map { (id, rate) -> id.value to WorkspaceDigest(rate.requested.toLong(), rate.granted.toLong()) }.toMap()
         val recipients = peers.recipients(digestNumber++)
         val idle = workspaces.isEmpty() && load.states.all().values.none { it.engine.ownLoad.running > 0 }
-        sendDigest(recipients.inRegion, workspaces, nowMs)
-        if (!idle || !idleDigestSent) sendDigest(recipients.crossRegion, workspaces, nowMs)
+        val groups = listOfNotNull(recipients.inRegion, recipients.crossRegion.takeUnless { idle && idleDigestSent })
+        groups.filter { it.peers.isNotEmpty() }.forEach { group ->
+            send(PeerDigest(settings.id.value, load.states.digests(group, nowMs), workspaces), group.peers)
+        }
         idleDigestSent = idle
     }
 
-    /** Reports the prefixes cached since the last digests to [group], several times over in case of loss. */
-    private fun sendDigest(group: RecipientGroup, workspaces: Map<String, WorkspaceDigest>, nowMs: Long) {
-        if (group.peers.isEmpty()) return
-        val sinceMs = nowMs - PREFIX_REPORT_COPIES * group.cycle * DIGEST_PERIOD_MS
-        val endpoints = load.states.all().mapValues { (_, state) -> state.toDigest(sinceMs) }
-            .filterValues { it.running > 0 || it.cachedPrefixes.isNotEmpty() }
-            .mapKeys { (id, _) -> id.value }
-        send(PeerDigest(settings.id.value, endpoints, workspaces), group.peers)
-    }
-
     private fun send(digest: PeerDigest, recipients: Collection<PeerRecord>) {
         val current = channel ?: return
         if (recipients.isEmpty()) return
@@ -181,6 +173,14 @@
     }
 }
 
+/** Returns the load on each endpoint in use and the prefixes cached since the last digests to [group], by ID. */
+private fun EndpointStates.digests(group: RecipientGroup, nowMs: Long): Map<String, EndpointDigest> {
+    val sinceMs = nowMs - PREFIX_REPORT_COPIES * group.cycle * DIGEST_PERIOD_MS
+    return all().mapValues { (_, state) -> state.toDigest(sinceMs) }
+        .filterValues { it.running > 0 || it.cachedPrefixes.isNotEmpty() }
+        .mapKeys { (id, _) -> id.value }
+}
+
 private fun EndpointState.toDigest(prefixesSinceMs: Long): EndpointDigest {
     val load = engine.ownLoad
     val prefixes = prefixReports.since(prefixesSinceMs)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/StoreAvailability.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/StoreAvailability.kt
@@ -1,5 +1,6 @@
 package corneltrack.router.relay
 
+import corneltrack.policy.discovery.ClockReading
 import corneltrack.policy.discovery.Clocks
 import corneltrack.wire.event
 import org.apache.logging.log4j.Level
@@ -14,15 +15,19 @@
 private const val MAXIMUM_TIMEOUT_MS = 2_000L
 
 /**
- * The time without any answer of the store, to this router or its peers, that counts as an outage, in ms. Longer than the
- * interval between two answers, shorter than an outage in which entries of live endpoints expire.
+ * The time without any answer of the store, to this router or its peers, that counts as an outage, in ms. Longer than
+ * the interval between two answers, shorter than an outage in which entries of live endpoints expire.
  */
 internal const val MINIMUM_OUTAGE_MS: Long = 2_000
 
 // Keeps the former name of the class, which appears in log lines as logger=StoreWatch.
 private val logger = LogManager.getLogger("corneltrack.router.relay.StoreWatch")
 
-/** Tracks whether the store responds to the calls for one topic, and backs off while it does not. */
+/**
+ * Tracks whether the store responds to the calls for one topic, and backs off while it does not.
+ *
+ * A store that turns away this router and serves a peer has had no outage, in which entries would have expired.
+ */
 internal class StoreAvailability(private val topicName: String, private val clock: Clocks) {
     private var failures = 0
 
@@ -34,13 +39,36 @@
     val timeoutMs: Long
         get() = minOf(INITIAL_TIMEOUT_MS shl minOf(failures, MAXIMUM_DOUBLINGS), MAXIMUM_TIMEOUT_MS)
 
+    /** The latest time at which the store is known to have served this router or a peer, whatever it answered. */
+    private var servedAt: ClockReading? = null
+
+    /** When this router had loaded the topic for the first time, in ms of the monotonic clock. */
+    private var loadedMs: Long? = null
+
+    private val unservedMs: Long get() = servedAt?.let { clock().since(it) } ?: Long.MAX_VALUE
+
+    /** Records that all records of the topic have been loaded. */
+    fun onLoaded() {
+        if (loadedMs == null) loadedMs = clock().monotonicMs
+    }
+
     /**
-     * Records that a call got a response.
+     * Records that the store served a peer at [servedAt].
      *
-     * @param unservedMs the time since the store is known to have served this router or a peer, in ms. A store that
-     *   turned away only this router has had no outage, in which entries would have expired.
+     * @param peerRecoveredMs when the store recovered for the peer, in ms of the monotonic clock, or null. Ignored if
+     *   this router knows that the store was serving before.
      */
-    fun onResponse(unservedMs: Long) {
+    fun onPeer(servedAt: ClockReading, peerRecoveredMs: Long?) {
+        if (peerRecoveredMs != null) {
+            val startedLater = loadedMs.let { it == null || it >= peerRecoveredMs }
+            val outage = startedLater || unservedMs >= MINIMUM_OUTAGE_MS
+            if (outage) recoveredMs = maxOf(recoveredMs ?: Long.MIN_VALUE, peerRecoveredMs)
+        }
+        recordServed(servedAt)
+    }
+
+    /** Records that a call got a response. */
+    fun onResponse() {
         if (failures > 0) {
             val outage = unservedMs >= MINIMUM_OUTAGE_MS
             if (outage) recoveredMs = clock().monotonicMs
@@ -52,6 +80,12 @@
             }
         }
         failures = 0
+        recordServed(clock())
+    }
+
+    private fun recordServed(at: ClockReading) {
+        val now = clock()
+        if (servedAt.let { it == null || now.since(at) < now.since(it) }) servedAt = at
     }
 
     /** Records a failed call and returns the delay before the next one, in ms. */
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicFollower.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicFollower.kt
@@ -71,15 +71,6 @@
     /** The offset from which to read on. */
     private var nextOffset = 0L
 
-    /** The store's last recovery that a peer's watermark reported, in ms of the monotonic clock. */
-    private var recoveredMs: Long? = null
-
-    /** The latest time at which the store is known to have served this router or a peer, whatever it answered. */
-    private var servedAt: ClockReading? = null
-
-    /** When this router had loaded the topic for the first time, in ms of the monotonic clock. */
-    private var loadedMs: Long? = null
-
     /** Identifies the topic in logs and in watermarks. */
     val name: String = followed.name
 
@@ -94,7 +85,7 @@
     val ageMs: Long? get() = asOf?.let { clock().since(it) }
 
     /** When the store last recovered from an outage, in ms of the monotonic clock; null if no outage was seen. */
-    val storeRecoveredMs: Long? get() = listOfNotNull(availability.recoveredMs, recoveredMs).maxOrNull()
+    val storeRecoveredMs: Long? get() = availability.recoveredMs
 
     /** Loads the newest record of each key and follows the topic from there. */
     fun start(): Unit = loadPage(null, FullLoad(clock(), HashSet()))
@@ -120,9 +111,8 @@
     fun onWatermark(watermark: TopicWatermark) {
         val current = asOf ?: return
         val now = clock()
-        watermark.storeRecoveredAgeMs?.let { onPeerRecovery(now.monotonicMs - it) }
         val peerAsOf = watermark.asOf(now)
-        recordServed(peerAsOf)
+        availability.onPeer(peerAsOf, watermark.storeRecoveredAgeMs?.let { now.monotonicMs - it })
         when {
             watermark.lastChangeEnd > nextOffset -> {
                 catchUpNeeded = true
@@ -140,20 +130,6 @@
         }
     }
 
-    /** Takes a recovery of the store from a peer unless this router knows that the store was serving before it. */
-    private fun onPeerRecovery(peerRecoveredMs: Long) {
-        val startedLater = loadedMs.let { it == null || it >= peerRecoveredMs }
-        if (!startedLater && unservedMs() < MINIMUM_OUTAGE_MS) return
-        recoveredMs = maxOf(recoveredMs ?: Long.MIN_VALUE, peerRecoveredMs)
-    }
-
-    private fun recordServed(at: ClockReading) {
-        val now = clock()
-        if (servedAt.let { it == null || now.since(at) < now.since(it) }) servedAt = at
-    }
-
-    private fun unservedMs(): Long = servedAt?.let { clock().since(it) } ?: Long.MAX_VALUE
-
     /**
      * A load of the newest record of each key, in pages.
      *
@@ -174,7 +150,7 @@
     }
 
     private fun onPage(page: TopicResponse.Newest, load: FullLoad) {
-        onResponse()
+        availability.onResponse()
         if (load.resumeOffset == null) load.resumeOffset = page.end
         page.records.forEach {
             load.seenKeys += it.key
@@ -189,7 +165,7 @@
         deduplicator.retain(load.seenKeys, resumeOffset)
         nextOffset = resumeOffset
         asOf = load.startedAt
-        if (loadedMs == null) loadedMs = clock().monotonicMs
+        availability.onLoaded()
         read(timing.waitMs)
     }
 
@@ -200,7 +176,7 @@
                 is TopicResponse.Records -> onRecords(response, sentAt, waitMs)
                 TopicResponse.Expired -> {
                     logger.event("topic_expired") { field("topic", name) }
-                    onResponse()
+                    availability.onResponse()
                     start()
                 }
                 else -> onFailure(response) { read(waitMs) }
@@ -209,7 +185,7 @@
     }
 
     private fun onRecords(page: TopicResponse.Records, sentAt: ClockReading, waitMs: Long) {
-        onResponse()
+        availability.onResponse()
         page.records.forEach(deduplicator::accept)
         nextOffset = page.next
         if (nextOffset < page.end) {
@@ -244,11 +220,6 @@
         if (overdue || catchUpNeeded) read(0) else scheduleNextRead()
     }
 
-    private fun onResponse() {
-        availability.onResponse(unservedMs())
-        recordServed(clock())
-    }
-
     private fun onFailure(response: TopicResponse, retry: () -> Unit) {
         val reason = (response as? TopicResponse.Unavailable)?.reason ?: "unexpected response"
         loop.after(availability.onFailure(reason, ageMs), retry)
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/PeerLoadsTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/PeerLoadsTest.kt
@@ -73,6 +73,7 @@
 
     private fun knownEndpoint(name: String, startedAtMs: Long = 1): KnownEndpoint {
         val endpoint = Endpoint(EndpointId(name), PoolId("pool"), DataCentreId("here"), "127.0.0.1:1", MemberState.LIVE)
-        return KnownEndpoint(EndpointEntry(endpoint, startedAtMs, 1, concurrency = 4, coldStartRemainingMs = 0), Long.MIN_VALUE)
+        val entry = EndpointEntry(endpoint, startedAtMs, sequence = 1, concurrency = 4, coldStartRemainingMs = 0)
+        return KnownEndpoint(entry, coldUntilMs = Long.MIN_VALUE)
     }
 }
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayFixture.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayFixture.kt
@@ -153,7 +153,8 @@
         }
 
     private fun table(version: Long): RoutingTable {
-        val engines = RoutedPool(PoolId("engines"), "/", EngineProfile(4, 100_000, 1, transferMsPerToken = 0.0001), 10, 0.0)
+        val profile = EngineProfile(4, 100_000, 1, transferMsPerToken = 0.0001)
+        val engines = RoutedPool(PoolId("engines"), "/", profile, 10, 0.0)
         val services = RoutedPool(PoolId("services"), "/", null, 10, 0.0)
         val workspaces = listOf(RoutedWorkspace(WorkspaceId("workspace"), setOf("key"), null, emptySet()))
         val routes = listOf(
