--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/PrefixCopyTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/PrefixCopyTest.kt
@@ -64,20 +64,31 @@
         assertNull(other.requests.single().headers["copy-from"])
     }
 
+    @Test
+    fun `the prompt of a route that is bound to regions is not copied`() {
+        fixture.start()
+        val (_, other) = fillOneEngine("/bound/x")
+
+        call("next", "/bound/x")
+        await("the next stream to reach the other engine") { other.requests.isNotEmpty() }
+
+        assertNull(other.requests.single().headers["copy-from"])
+    }
+
     @Test
     fun `a caller cannot name the engine to copy from`() {
         fixture.start()
 
-        call("first", "copy-from: 10.0.0.1:80\r\n")
+        call("first", headers = "copy-from: 10.0.0.1:80\r\n")
         await("the stream to start") { engines.values.any { it.requests.isNotEmpty() } }
 
         assertNull(engines.values.flatMap { it.requests }.single().headers["copy-from"])
     }
 
     /** Returns the engine that runs as many streams with the prefix as it can, and the other one. */
-    private fun fillOneEngine(): Pair<ScriptedEndpoint, ScriptedEndpoint> {
+    private fun fillOneEngine(path: String = "/stream/x"): Pair<ScriptedEndpoint, ScriptedEndpoint> {
         repeat(BATCH_SLOTS) { index ->
-            call("fill-$index")
+            call("fill-$index", path)
             await("stream $index to start") { engines.values.sumOf { it.requests.size } == index + 1 }
             await("the first event of stream $index") { started.size == index + 1 }
         }
@@ -86,11 +97,11 @@
         return holder to engines.values.single { it !== holder }
     }
 
-    private fun call(id: String, headers: String = "") {
+    private fun call(id: String, path: String = "/stream/x", headers: String = "") {
         val prompt = PROMPT.format(id.hashCode() and Int.MAX_VALUE)
         callers += thread {
             fixture.connect().use { socket ->
-                socket.send(request("/stream/x", id, prompt + headers))
+                socket.send(request(path, id, prompt + headers))
                 val input = socket.getInputStream()
                 if (input.read() >= 0) started += id
                 input.readAllBytes()
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayFixture.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayFixture.kt
@@ -160,6 +160,7 @@
         val routes = listOf(
             route("/stream/", "engines", ResponseMode.EVENT_STREAM),
             route("/resumed/", "engines", ResponseMode.EVENT_STREAM, ExecutionSemantics.IDEMPOTENT, resumable = true),
+            route("/bound/", "engines", ResponseMode.EVENT_STREAM).copy(regions = setOf(RegionId("home"))),
             route("/once/", "services", ResponseMode.COMPLETE),
             route("/many/", "services", ResponseMode.COMPLETE, ExecutionSemantics.IDEMPOTENT),
             route(
