--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/EnginePlacement.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/EnginePlacement.kt
@@ -16,7 +16,7 @@
  * The penalty against the wait limits for prefilling missed tokens at a fully utilized engine, as a multiple of their
  * prefill time: under overload, processing a prefix again takes capacity from other requests.
  */
-private const val MISS_LIMIT_WEIGHT = 40.0
+private const val MISS_LIMIT_WEIGHT = 20.0
 
 /** What a copied token counts in place of a missed one in both penalties: a copy displaces another prefix as well. */
 private const val COPIED_TOKEN_WEIGHT = 0.5
