Judge copies in one place, and leave out work done twice

Cause: a second reading of the change. The router and the model of engines each wrote the judgement of a copied prefix; both call TransferSuccess now, which has a file of its own, and the router keeps the decision's transfer in place of two fields taken from it. The estimate of cached prefixes had two ways to forget, PeerLoads looked each endpoint up twice, and each digest, built for two groups ten times a second, made a record of every endpoint and dropped the idle ones. An unused clear() is gone; a comment that spoke of bounds that do not exist is mended; two tests stand with the class they test, their assertions unchanged. No decision changes.

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/PrefixCacheEstimate.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/PrefixCacheEstimate.kt
@@ -27,8 +27,7 @@
      */
     public fun onSent(segments: List<PromptSegment>, nowMs: Long, retentionMs: Long) {
         segments.forEach { record(it.prefixHash, Use(nowMs, uses[it.prefixHash]?.confirmedMs ?: NEVER_MS)) }
-        val oldest = uses.values.iterator()
-        while (oldest.hasNext() && nowMs - oldest.next().usedMs > retentionMs) oldest.remove()
+        removeUnused(nowMs, retentionMs)
     }
 
     /**
@@ -38,6 +37,7 @@
     public fun onConfirmed(prefixHashes: List<Long>, nowMs: Long): List<Long> {
         val news = prefixHashes.filter { nowMs - (uses[it]?.confirmedMs ?: NEVER_MS) > REPORT_INTERVAL_MS }
         prefixHashes.forEach { record(it, Use(nowMs, nowMs)) }
+        removeUnused(nowMs, MAXIMUM_KEPT_MS)
         return news
     }
 
@@ -52,18 +52,18 @@
     /** Records that the engine turned out to lack the segments with [prefixHashes]. */
     public fun onMissing(prefixHashes: List<Long>): Unit = prefixHashes.forEach { uses.remove(it) }
 
-    /** Removes all segments, as after a restart of the engine. */
-    public fun clear(): Unit = uses.clear()
-
     private fun prefixTokens(segments: List<PromptSegment>, counts: (Use) -> Boolean): Int =
         segments.takeWhile { segment -> uses[segment.prefixHash]?.let(counts) ?: false }.sumOf { it.tokens }
 
-    /** Moves the segment to the end of the order of use, and removes one that was not used for long. */
+    /** Moves the segment to the end of the order of use. */
     private fun record(prefixHash: Long, use: Use) {
         uses.remove(prefixHash)
         uses[prefixHash] = use
-        val oldest = uses.entries.iterator().next()
-        if (use.usedMs - oldest.value.usedMs > MAXIMUM_KEPT_MS) uses.remove(oldest.key)
+    }
+
+    private fun removeUnused(nowMs: Long, keptMs: Long) {
+        val oldest = uses.values.iterator()
+        while (oldest.hasNext() && nowMs - oldest.next().usedMs > keptMs) oldest.remove()
     }
 
     private companion object {
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/PrefixTransfer.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/PrefixTransfer.kt
@@ -6,16 +6,6 @@
 /** How many times as long as the copy the prefill must take for the copy to be worthwhile; links are shared. */
 private const val MINIMUM_TRANSFER_GAIN = 3.0
 
-/** The success rate assumed before the first copy, the weight of a new result, and the bounds of what is relied on. */
-private const val INITIAL_SUCCESS_RATE = 0.8
-private const val SUCCESS_SMOOTHING = 0.05
-
-/** A result counts only if the prefill that a copy saves takes at least this long, in ms, so that it stands out. */
-private const val MINIMUM_OBSERVED_SAVING_MS = 40.0
-
-/** The fraction of the saving by which a first event may be late before the copy counts as failed. */
-private const val FAILURE_FRACTION = 0.5
-
 /**
  * Describes a copy of a cached prefix from one engine to another.
  *
@@ -70,29 +60,3 @@
 
     private fun durationMs(tokens: Int) = TRANSFER_SETUP_MS + tokens * (caching.transferMsPerToken ?: 0.0)
 }
-
-/**
- * Learns from first events how often a copied prefix arrives.
- *
- * The source may have evicted the prefix or may be unreachable from the target; the target then processes the whole
- * prompt and its first event is late by the time of that. Not thread-safe.
- */
-public class TransferSuccess {
-    /** The recent fraction of copies that arrived. */
-    public var rate: Double = INITIAL_SUCCESS_RATE
-        private set
-
-    /**
-     * Records the first event of a request with a copied prefix. Returns whether the copy probably arrived, or null if
-     * that cannot be told.
-     *
-     * @param savingMs the prefill time that the copy saves, in ms.
-     * @param lateMs how much later than expected the first event was, in ms; negative if it was earlier.
-     */
-    public fun onFirstEvent(savingMs: Double, lateMs: Double): Boolean? {
-        if (savingMs < MINIMUM_OBSERVED_SAVING_MS) return null
-        val arrived = lateMs < savingMs * FAILURE_FRACTION
-        rate += SUCCESS_SMOOTHING * ((if (arrived) 1.0 else 0.0) - rate)
-        return arrived
-    }
-}
--- a/corneltrack-policy/src/test/kotlin/corneltrack/policy/placement/EngineFleetModel.kt
+++ b/corneltrack-policy/src/test/kotlin/corneltrack/policy/placement/EngineFleetModel.kt
@@ -149,11 +149,8 @@
         val firstEventMs = process(engines[index], generation, source)
         at(firstEventMs) {
             if (firstEventMs - sentMs <= OBJECTIVE_MS) inTime++
-            decision.transfer?.let { transfer ->
-                val savingMs = transfer.tokens * view.load.prefillMsPerToken
-                val arrived = router.success.onFirstEvent(savingMs, firstEventMs - sentMs - decision.expectedWaitMs)
-                if (arrived == false) transfer.source.prefixCache.onMissing(generation.sharedPrefixes)
-            }
+            val lateMs = firstEventMs - sentMs - decision.expectedWaitMs
+            decision.transfer?.let { router.success.onFirstEvent(it, generation, view.load, lateMs) }
             view.load.onFirstEvent(sent, firstEventMs - sentMs - NETWORK_MS)
             val news = view.prefixCache.onConfirmed(generation.sharedPrefixes, nowMs.toLong())
             router.reports[index].add(news, nowMs.toLong())
--- a/corneltrack-policy/src/test/kotlin/corneltrack/policy/placement/PrefixCacheEstimateTest.kt
+++ b/corneltrack-policy/src/test/kotlin/corneltrack/policy/placement/PrefixCacheEstimateTest.kt
@@ -23,4 +23,19 @@
         assertEquals(600, cache.cachedTokens(segments, 1_000, 1_000))
         assertEquals(0, cache.cachedTokens(segments, 1_001, 1_000))
     }
+
+    @Test
+    fun `a prefix is news for peers only if it had not been confirmed lately`() {
+        assertEquals(listOf(1L, 2L), cache.onConfirmed(listOf(1, 2), 0))
+        assertEquals(listOf(3L), cache.onConfirmed(listOf(1, 2, 3), 1_000))
+        assertEquals(listOf(1L), cache.onConfirmed(listOf(1), 3_000))
+    }
+
+    @Test
+    fun `a prefix that a peer confirmed counts as cached`() {
+        cache.onConfirmed(listOf(segments.first().prefixHash), 0)
+
+        assertEquals(100, cache.cachedTokens(segments, 1_000, 1_000))
+        assertEquals(0, cache.cachedTokens(segments, 1_001, 1_000))
+    }
 }
--- a/corneltrack-policy/src/test/kotlin/corneltrack/policy/placement/PrefixReportsTest.kt
+++ b/corneltrack-policy/src/test/kotlin/corneltrack/policy/placement/PrefixReportsTest.kt
@@ -21,24 +21,4 @@
 
         assertEquals((153L..200L).toList(), reports.since(0))
     }
-
-    @Test
-    fun `a prefix is news for peers only if it had not been confirmed lately`() {
-        val cache = PrefixCacheEstimate()
-
-        assertEquals(listOf(1L, 2L), cache.onConfirmed(listOf(1, 2), 0))
-        assertEquals(listOf(3L), cache.onConfirmed(listOf(1, 2, 3), 1_000))
-        assertEquals(listOf(1L), cache.onConfirmed(listOf(1), 3_000))
-    }
-
-    @Test
-    fun `a prefix that a peer confirmed counts as cached`() {
-        val cache = PrefixCacheEstimate()
-        val segments = promptSegments(listOf(1, 2), listOf(100, 10))
-
-        cache.onConfirmed(listOf(segments.first().prefixHash), 0)
-
-        assertEquals(100, cache.cachedTokens(segments, 1_000, 1_000))
-        assertEquals(0, cache.cachedTokens(segments, 1_001, 1_000))
-    }
 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EngineChooser.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EngineChooser.kt
@@ -95,10 +95,7 @@
         val state = endpoints.recordStart(engine, nowMs)
         val engineRequest = state.engine.onSent(generation, prefillTokens, nowMs)
         state.prefixes.onSent(generation.segments, nowMs, caching.retentionMs)
-        val source = transfer?.let { transfer ->
-            val holder = known.getValue(transfer.source.id)
-            PrefixSource(holder.entry.endpoint, load.states.of(holder).prefixes, transfer.tokens)
-        }
+        val source = transfer?.let { PrefixSource(known.getValue(it.source.id).entry.endpoint, it) }
         val expected = ExpectedCost(expectedWaitMs, prefillTokens, missedTokens)
         return Target(engine.entry.endpoint, state, engineRequest, candidate.networkDelayMs, expected, source)
     }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EventTiming.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EventTiming.kt
@@ -1,5 +1,6 @@
 package corneltrack.router.relay
 
+import corneltrack.policy.placement.Generation
 import corneltrack.policy.placement.TransferSuccess
 
 /** Updates an endpoint's load estimate from the times of one attempt, all in ms of the monotonic clock. */
@@ -24,9 +25,8 @@
     fun onEvent(nowMs: Long) {
         val engine = target.state.engine
         if (lastEventMs == 0L) {
-            target.prefixSource?.let { onTransferResult(it, nowMs) }
+            call.generation?.let { onPromptProcessed(it, nowMs) }
             target.engineRequest?.let { engine.onFirstEvent(it, nowMs - sentMs - target.networkDelayMs) }
-            if (call.regions.isEmpty()) call.generation?.let { target.state.onPromptProcessed(it, nowMs) }
             if (call.firstEventMs == null) call.firstEventMs = nowMs
         } else {
             engine.onEvent(nowMs - lastEventMs, call.pool.engine?.tokensPerEvent ?: 1, nowMs)
@@ -35,12 +35,11 @@
         lastEventMs = nowMs
     }
 
-    /** Judges from the time of the first event whether the engine could copy the prefix. */
-    private fun onTransferResult(source: PrefixSource, nowMs: Long) {
-        val savingMs = source.tokens * target.state.engine.prefillMsPerToken
+    /** Records what the first event says of the engine's cache and of the copy that it was asked to make. */
+    private fun onPromptProcessed(generation: Generation, nowMs: Long) {
         val lateMs = nowMs - sentMs - target.expected.waitMs
-        val arrived = transfers.onFirstEvent(savingMs, lateMs)
-        if (arrived == false) source.prefixes.onMissing(call.generation?.sharedPrefixes.orEmpty())
+        target.prefixSource?.let { transfers.onFirstEvent(it.transfer, generation, target.state.engine, lateMs) }
+        if (call.regions.isEmpty()) target.state.onPromptProcessed(generation, nowMs)
     }
 
     /** Returns the time since the request was sent without the network delay, in ms. */
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
@@ -176,13 +176,15 @@
 /** Returns the load on each endpoint in use and the prefixes cached since the last digests to [group], by ID. */
 private fun EndpointStates.digests(group: RecipientGroup, nowMs: Long): Map<String, EndpointDigest> {
     val sinceMs = nowMs - PREFIX_REPORT_COPIES * group.cycle * DIGEST_PERIOD_MS
-    return all().mapValues { (_, state) -> state.toDigest(sinceMs) }
-        .filterValues { it.running > 0 || it.cachedPrefixes.isNotEmpty() }
-        .mapKeys { (id, _) -> id.value }
+    return buildMap {
+        all().forEach { (id, state) ->
+            val prefixes = state.prefixReports.since(sinceMs)
+            if (state.engine.ownLoad.running > 0 || prefixes.isNotEmpty()) put(id.value, state.toDigest(prefixes))
+        }
+    }
 }
 
-private fun EndpointState.toDigest(prefixesSinceMs: Long): EndpointDigest {
+private fun EndpointState.toDigest(cachedPrefixes: List<Long>): EndpointDigest {
     val load = engine.ownLoad
-    val prefixes = prefixReports.since(prefixesSinceMs)
-    return EndpointDigest(load.pendingPrefillTokens, load.running, load.kvCacheTokens, startedAtMs, prefixes)
+    return EndpointDigest(load.pendingPrefillTokens, load.running, load.kvCacheTokens, startedAtMs, cachedPrefixes)
 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerLoads.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerLoads.kt
@@ -26,22 +26,17 @@
 
     private fun onEndpoints(peer: InstanceId, endpoints: Map<String, EndpointDigest>, nowMs: Long) {
         val previous = reportedEndpoints.put(peer, endpoints.keys).orEmpty()
-        previous.forEach { id -> if (id !in endpoints) applyLoad(peer, id, LoadSummary.EMPTY, nowMs) }
-        endpoints.forEach { (id, digest) ->
-            applyLoad(peer, id, digest.toSummary(), nowMs)
-            applyPrefixes(id, digest, nowMs)
-        }
+        previous.forEach { id -> if (id !in endpoints) stateOf(id)?.engine?.onPeer(peer, LoadSummary.EMPTY, nowMs) }
+        endpoints.forEach { (id, digest) -> stateOf(id)?.let { apply(peer, it, digest, nowMs) } }
     }
 
     /** Ignores what another incarnation of the endpoint has cached. */
-    private fun applyPrefixes(endpoint: String, digest: EndpointDigest, nowMs: Long) {
-        val state = load.states.all()[EndpointId(endpoint)] ?: return
+    private fun apply(peer: InstanceId, state: EndpointState, digest: EndpointDigest, nowMs: Long) {
+        state.engine.onPeer(peer, digest.toSummary(), nowMs)
         if (state.startedAtMs == digest.startedAtMs) state.prefixes.onConfirmed(digest.cachedPrefixes, nowMs)
     }
 
-    private fun applyLoad(peer: InstanceId, endpoint: String, summary: LoadSummary, nowMs: Long) {
-        load.states.all()[EndpointId(endpoint)]?.engine?.onPeer(peer, summary, nowMs)
-    }
+    private fun stateOf(endpoint: String) = load.states.all()[EndpointId(endpoint)]
 }
 
 private fun EndpointDigest.toSummary() = LoadSummary(pendingPrefillTokens, running, kvCacheTokens)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayEventLog.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayEventLog.kt
@@ -32,7 +32,7 @@
         field("expected_ms", target.expected.waitMs.toLong())
         field("unread_tokens", target.expected.prefillTokens)
         field("missed_tokens", target.expected.missedTokens)
-        field("copied_tokens", target.prefixSource?.tokens)
+        field("copied_tokens", target.prefixSource?.transfer?.tokens)
         field("copied_from", target.prefixSource?.endpoint?.id)
         field("shared_tokens", call.generation?.sharedTokens)
         field("attempt", call.attempts + 1)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/StoreAvailability.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/StoreAvailability.kt
@@ -31,6 +31,12 @@
 internal class StoreAvailability(private val topicName: String, private val clock: Clocks) {
     private var failures = 0
 
+    /** The latest time at which the store is known to have served this router or a peer, whatever it answered. */
+    private var servedAt: ClockReading? = null
+
+    /** When this router had loaded the topic for the first time, in ms of the monotonic clock. */
+    private var loadedMs: Long? = null
+
     /** When the store last recovered from an outage, in ms of the monotonic clock; null if no outage was seen. */
     var recoveredMs: Long? = null
         private set
@@ -39,12 +45,7 @@
     val timeoutMs: Long
         get() = minOf(INITIAL_TIMEOUT_MS shl minOf(failures, MAXIMUM_DOUBLINGS), MAXIMUM_TIMEOUT_MS)
 
-    /** The latest time at which the store is known to have served this router or a peer, whatever it answered. */
-    private var servedAt: ClockReading? = null
-
-    /** When this router had loaded the topic for the first time, in ms of the monotonic clock. */
-    private var loadedMs: Long? = null
-
+    /** The time since [servedAt], in ms. */
     private val unservedMs: Long get() = servedAt?.let { clock().since(it) } ?: Long.MAX_VALUE
 
     /** Records that all records of the topic have been loaded. */
@@ -83,11 +84,6 @@
         recordServed(clock())
     }
 
-    private fun recordServed(at: ClockReading) {
-        val now = clock()
-        if (servedAt.let { it == null || now.since(at) < now.since(it) }) servedAt = at
-    }
-
     /** Records a failed call and returns the delay before the next one, in ms. */
     fun onFailure(reason: String, ageMs: Long?): Long {
         if (failures++ == 0) {
@@ -99,4 +95,9 @@
         }
         return minOf(INITIAL_BACKOFF_MS shl minOf(failures - 1, MAXIMUM_DOUBLINGS), MAXIMUM_BACKOFF_MS)
     }
+
+    private fun recordServed(at: ClockReading) {
+        val now = clock()
+        if (servedAt.let { it == null || now.since(at) < now.since(it) }) servedAt = at
+    }
 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/Target.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/Target.kt
@@ -1,7 +1,7 @@
 package corneltrack.router.relay
 
 import corneltrack.policy.placement.EngineRequest
-import corneltrack.policy.placement.PrefixCacheEstimate
+import corneltrack.policy.placement.PrefixTransfer
 import corneltrack.world.Endpoint
 
 /**
@@ -14,12 +14,11 @@
 internal data class ExpectedCost(val waitMs: Double, val prefillTokens: Int = 0, val missedTokens: Int = 0)
 
 /**
- * Holds the engine from which the target is asked to copy a cached prefix of the prompt.
+ * Holds the copy of a cached prefix that the target is asked to make.
  *
- * @property prefixes the router's estimate of the prefixes that the source has cached.
- * @property tokens the tokens that the target need not process if the copy arrives.
+ * @property endpoint the engine that has the prefix.
  */
-internal class PrefixSource(val endpoint: Endpoint, val prefixes: PrefixCacheEstimate, val tokens: Int)
+internal class PrefixSource(val endpoint: Endpoint, val transfer: PrefixTransfer)
 
 /**
  * Holds the endpoint chosen for one attempt and the load that was added to its state.
