--- a/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerConnections.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerConnections.kt
@@ -4,6 +4,7 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
 
 /** How long connections that were accepted last may take to send a request and read its answer, in ms. */
 private const val LAST_ANSWERS_TIMEOUT_MS = 1_000L
@@ -21,6 +22,8 @@
 internal class CallerConnections(private val maximum: Int = Int.MAX_VALUE) {
     private val open: MutableSet<CallerConnection> = ConcurrentHashMap.newKeySet()
     private val pending = AtomicInteger()
+    private val accepted = AtomicLong()
+    private val requests = AtomicLong()
 
     /** Whether idle connections were closed since there were last few, so that a flood does not have it done again. */
     private val makingRoom = AtomicBoolean()
@@ -36,6 +39,12 @@
     /** The number of open connections. */
     val openCount: Int get() = open.size
 
+    /** The number of connections accepted so far. */
+    val acceptedTotal: Long get() = accepted.get()
+
+    /** The number of requests read so far. */
+    val requestsTotal: Long get() = requests.get()
+
     /** Whether a connection may stay open after its response. */
     val mayStayOpen: Boolean get() = !draining && openCount <= maximum * CROWDED_FRACTION
 
@@ -62,6 +71,7 @@
      * Records a new connection. Returns false if it is one too many; idle ones are then closed to make room for later.
      */
     fun onOpened(connection: CallerConnection): Boolean {
+        accepted.incrementAndGet()
         open += connection
         val fits = openCount <= maximum
         if (!fits && !makingRoom.getAndSet(true)) closeIdle()
@@ -74,6 +84,7 @@
     }
 
     fun onRequest() {
+        requests.incrementAndGet()
         pending.incrementAndGet()
     }
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallHandler.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallHandler.kt
@@ -92,6 +92,7 @@
         val runner = CallRunner(call, context)
         (sink as? CallerResponse)?.onWritable = runner::onWritable
         runner.start()
+        if (call.placed) loadReport.onPlaced()
         recordAttempt(call)
         return runner::onCallerDisconnected
     }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/LoadReport.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/LoadReport.kt
@@ -16,8 +16,9 @@
 /**
  * Logs how loaded the router was in the last second, if it refused requests at admission, and updates the gauges.
  *
- * Tells apart why a router refuses: whether it reads late, whether its connections pile up, and how many peers the fair
- * share that it goes by covers. Confined to the event loop.
+ * Tells apart why a router refuses: whether it reads late, whether its callers open a connection for each request or
+ * repeat on open ones, how many requests it places meanwhile, and how many peers the fair share that it goes by covers.
+ * Confined to the event loop.
  */
 internal class LoadReport(
     private val eventLoopLag: EventLoopLag,
@@ -27,12 +28,20 @@
 ) {
     private val refused = LinkedHashMap<String, Int>()
     private var longestLagMs = 0L
+    private var placed = 0
+    private var acceptedBefore = 0L
+    private var requestsBefore = 0L
 
     /** Counts a request refused at admission. */
     fun onRefused(refusal: Refusal) {
         refused.merge(refusal.code, 1, Int::plus)
     }
 
+    /** Counts a request for which an endpoint was found. */
+    fun onPlaced() {
+        placed++
+    }
+
     /** Records the lag of the event loop at a sample. */
     fun onLagSample(nowMs: Long) {
         longestLagMs = maxOf(longestLagMs, eventLoopLag.lagMs(nowMs))
@@ -46,6 +55,9 @@
             logger.event("router_load") {
                 field("lag_ms", longestLagMs)
                 field("connections", connections.openCount)
+                field("accepted", connections.acceptedTotal - acceptedBefore)
+                field("read", connections.requestsTotal - requestsBefore)
+                field("placed", placed)
                 field("requests", connections.pendingRequests)
                 field("peers", peers)
                 field("reporting_peers", share.reportingPeers)
@@ -55,6 +67,9 @@
         }
         refused.clear()
         longestLagMs = 0
+        placed = 0
+        acceptedBefore = connections.acceptedTotal
+        requestsBefore = connections.requestsTotal
     }
 
     private fun load(share: FairShareView) =
