Keep callers' connections open up to four fifths of 0.55 of the sockets

Cause: from a fifth of the sockets on (half of 0.4) each connection closed after its response, and 256 to 512 connections that were accepted and not yet read counted as open, so that a flood was always above it. Each request then cost an accepted and a closed connection; both are a fifth of the router's processor in the profile. Class of fault: a limit that protects a resource costs more of another, scarcer one.

Connections now stay open until 0.44 of the sockets are open, of 3,900 on a small machine 1,716; 0.45 are left for endpoints.

CallerServerTest asked that connections close from half of the maximum on; it now asks that they stay open up to four fifths and close above, which pins both sides of the limit where it pinned one.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerConnections.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerConnections.kt
@@ -11,7 +11,7 @@
 private const val CLOSED_POLL_MS = 20L
 
 /** The fraction of the maximum from which on connections close after their response instead of staying open. */
-private const val CROWDED_FRACTION = 0.5
+private const val CROWDED_FRACTION = 0.8
 
 /**
  * Tracks the open connections of callers and their pending requests, and closes them on shutdown. Thread-safe.
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelaySettings.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelaySettings.kt
@@ -6,7 +6,7 @@
 import corneltrack.world.RegionId
 
 /** Leaves as many sockets again for the requests on these connections, each of which needs one to an endpoint. */
-private const val CALLER_SOCKET_FRACTION = 0.4
+private const val CALLER_SOCKET_FRACTION = 0.55
 private const val IDLE_SOCKET_FRACTION = 0.15
 
 /**
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/callers/CallerServerTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/callers/CallerServerTest.kt
@@ -19,6 +19,9 @@
 
 private const val CALLERS = 5
 private const val MAXIMUM_CONNECTIONS = 20
+
+/** The most connections that may be open while each stays open after its response. */
+private const val MANY_CONNECTIONS = 16
 private const val READ_TIMEOUT_MS = 10_000
 
 /** Far beyond what a loaded machine needs to answer a few requests. */
@@ -120,13 +123,17 @@
     fun `a connection closes after its response once many are open and stays open before`() {
         val first = connect().also { it.sendRequest() }
         assertFalse("connection: close" in first.readResponse().lowercase())
-        val others = List(MAXIMUM_CONNECTIONS / 2) { connect() }
-        while (connections.openCount <= MAXIMUM_CONNECTIONS / 2) Thread.onSpinWait()
+        val others = List(MANY_CONNECTIONS - 1) { connect() }
+        while (connections.openCount < MANY_CONNECTIONS) Thread.onSpinWait()
+        first.sendRequest()
+        assertFalse("connection: close" in first.readResponse().lowercase())
 
+        val oneMore = connect()
+        while (connections.openCount <= MANY_CONNECTIONS) Thread.onSpinWait()
         first.sendRequest()
 
         assertTrue("connection: close" in String(first.getInputStream().readAllBytes()).lowercase())
-        others.forEach { it.close() }
+        (others + oneMore).forEach { it.close() }
     }
 
     private fun Socket.readResponse(): String {
