Hold no workspace below its share back, and let a router use the attempts that its peers leave

Cause: a router's part of the fleet's attempts followed from what was requested there lately over what the fleet requested. A flood that moves is counted twice for two seconds, at the router that it left and at the one that it reached, so that each tries too few. Class of fault: an account kept by where demand was seen instead of by what was used.

A workspace below nine tenths of its share is not held back. One at its share may use, beside its part, what its peers' attempts leave of the fleet's.

Three new tests of FairShareTracker; without the change the first two fail.

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/FairShareTracker.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/FairShareTracker.kt
@@ -27,8 +27,8 @@
 /** The attempts that a workspace whose requests are not read for a while saves up, in ms at its rate. */
 private const val ATTEMPT_BURST_MS = 250.0
 
-/** The fair-share ratio below which a workspace is held back less. */
-private const val HELD_BACK_RATIO = 0.5
+/** The fair-share ratio below which all requests of a workspace are tried, whatever it requests. */
+private const val HELD_BACK_RATIO = 0.9
 
 /**
  * Holds the recent tokens of a workspace, per second.
@@ -129,31 +129,35 @@
     /**
      * Takes a request of [tokens] from what [workspace] may try to place, and returns false if that is used up.
      *
-     * All requests may be tried unless the workspace requests several times its fair share; one far below its share is
-     * held back little. Each router then has a part of the fleet's attempts in proportion to what was requested there.
-     * What it refuses without reading it uses up nothing, so that the requests that it does read are all tried if they
-     * are few.
+     * All requests may be tried while the workspace is granted less than its fair share, or requests no more than a few
+     * times as much. What a router refuses without reading it uses up nothing.
      */
     public fun tryAttempt(workspace: WorkspaceId, tokens: Long, nowMs: Long): Boolean {
-        val counter = counter(workspace)
-        val ratio = demandRatio(workspace, nowMs)
-        val shortfall = 1 - fairShareRatio(workspace, nowMs) / HELD_BACK_RATIO
-        val fraction = maxOf(ATTEMPTED_SHARE / ratio, shortfall)
-        if (ratio <= 0 || fraction >= 1) {
-            counter.attemptBudget.clear(nowMs)
+        val budget = counter(workspace).attemptBudget
+        val perSecond = allowedAttempts(workspace, nowMs)
+        if (perSecond.isInfinite()) {
+            budget.clear(nowMs)
             return true
         }
-        return counter.attemptBudget.tryTake(tokens, fraction * counter.lately.perSecond(nowMs), nowMs)
+        return budget.tryTake(tokens, perSecond, nowMs)
     }
 
     /**
-     * Returns what [workspace] requests lately divided by its fair share: 0 if the fleet is not contended, above 1 if
-     * it cannot get all of it.
+     * Returns the tokens a second that this router may try to place for [workspace]; infinite if that is not limited.
+     *
+     * Each router has a part of the fleet's attempts in proportion to what is requested there, and may use what its
+     * peers leave: after a flood has moved to this router, the part of the one that it left would be lost otherwise.
      */
-    private fun demandRatio(workspace: WorkspaceId, nowMs: Long): Double {
-        val share = view(nowMs).tokensPerSecond
-        val requested = (fleetRates[workspace]?.requested ?: 0.0) * counter(workspace).remainingDemand(nowMs)
-        return if (share > 0) requested / share else 0.0
+    private fun allowedAttempts(workspace: WorkspaceId, nowMs: Long): Double {
+        val fleetAttempts = ATTEMPTED_SHARE * view(nowMs).tokensPerSecond
+        val fleet = fleetRates[workspace]
+        val counter = counter(workspace)
+        val requested = (fleet?.requested ?: 0.0) * counter.remainingDemand(nowMs)
+        val isHeldBack = fairShareRatio(workspace, nowMs) >= HELD_BACK_RATIO
+        if (fleet == null || !isHeldBack || requested <= fleetAttempts) return Double.POSITIVE_INFINITY
+        val ownPart = fleetAttempts * counter.lately.perSecond(nowMs) / requested
+        val leftByPeers = fleetAttempts - (fleet.attempted - counter.attempted.perSecond(nowMs))
+        return maxOf(ownPart, leftByPeers)
     }
 
     private fun counter(workspace: WorkspaceId) = counters.getOrPut(workspace) { RateCounter() }
--- a/corneltrack-policy/src/test/kotlin/corneltrack/policy/placement/FairShareTrackerTest.kt
+++ b/corneltrack-policy/src/test/kotlin/corneltrack/policy/placement/FairShareTrackerTest.kt
@@ -69,6 +69,45 @@
         modest.forEach { assertEquals(19_000L, granted[it], "$it requested 19,000 tokens, below its fair share") }
     }
 
+    @Test
+    fun `a workspace that is granted less than its share is not held back however much it requests`() {
+        record(large, 1_000_000, 50_000)
+        reportPeer(large, WorkspaceRate(0.0, 0.0))
+        reportPeer(small, WorkspaceRate(200_000.0, 100_000.0))
+
+        assertTrue(tracker.fairShareRatio(large, 0) < 0.9, "found ${tracker.fairShareRatio(large, 0)}")
+        assertTrue((1..100).all { tracker.tryAttempt(large, 1_000, 0) }, "expected all requests to be tried")
+    }
+
+    @Test
+    fun `a workspace at its share whose flood has left another router may try what that one no longer tries`() {
+        val triedAfterMove = triedAtItsShare(attemptedElsewhere = 20_000.0)
+        val triedBeside = triedAtItsShare(attemptedElsewhere = 180_000.0)
+
+        assertTrue(triedAfterMove > 2 * triedBeside, "found $triedAfterMove and $triedBeside requests tried")
+    }
+
+    @Test
+    fun `a workspace at its share that requests many times as much is held back`() {
+        val tried = triedAtItsShare(attemptedElsewhere = 180_000.0)
+
+        assertTrue(tried in 1..100, "expected at most 100 of 1,000 requests to be tried, found $tried")
+    }
+
+    /** Returns how many of 1,000 requests in a second are tried while a peer requests and is granted as much. */
+    private fun triedAtItsShare(attemptedElsewhere: Double): Int {
+        val tracker = FairShareTracker()
+        tracker.onPeer(InstanceId("left"), mapOf(large to WorkspaceRate(4_000_000.0, 100_000.0, attemptedElsewhere)), 0)
+        tracker.onPeer(InstanceId("other"), mapOf(small to WorkspaceRate(500_000.0, 100_000.0)), 0)
+        return (1L..1_000).count { nowMs ->
+            tracker.onRequested(large, 1_000, nowMs)
+            tracker.tryAttempt(large, 1_000, nowMs)
+        }
+    }
+
+    private fun reportPeer(workspace: WorkspaceId, rate: WorkspaceRate) =
+        tracker.onPeer(InstanceId("peer of ${workspace.value}"), mapOf(workspace to rate), 0)
+
     /**
      * Simulates an engine that prefills 1,000 tokens at once. Each of [requesters] requests 100 tokens.
      *
