Refuse workspaces far above their share at shorter queues, and prefill anew for those below it

What callers saw: a quarter to a third of what a flooded router read of a workspace at 50 to 80 % of its share found no engine in time, while another took places at 150 to 199 % of its share.

Cause: the limits at the engines stopped at the share. A workspace at twice its share had the same as one just at it, and from 0.6 of its share on a workspace counted as served, so that a prompt whose shared prefix was not cached was refused. Class of fault: a ratio that is known and cut off where it matters.

The wait limit of a workspace above its share falls further, to a quarter of the objective at twice its share; missed prefixes count in full from nine tenths of the share on, rising from 0.3.

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/AdmissionLimits.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/AdmissionLimits.kt
@@ -11,9 +11,13 @@
 private const val REDUCTION_START_RATIO = 0.7
 private const val REDUCTION_END_RATIO = 1.0
 
+/** What the wait fraction falls to while the ratio rises further, to [EXCESS_END_RATIO]. */
+private const val EXCESS_WAIT_FRACTION = 0.25
+private const val EXCESS_END_RATIO = 2.0
+
 /** The fair-share ratios between which the weight of missed tokens rises from its minimum to 1. */
 private const val MISS_WEIGHT_START_RATIO = 0.3
-private const val MISS_WEIGHT_END_RATIO = 0.6
+private const val MISS_WEIGHT_END_RATIO = 0.9
 private const val MINIMUM_MISS_WEIGHT = 0.1
 
 /** The fraction of the objective that a request past its objective may still be expected to wait. */
@@ -47,7 +51,9 @@
 public fun admissionLimits(objectiveMs: Long, elapsedMs: Long, fairShareRatio: Double): AdmissionLimits {
     val reduction = ((fairShareRatio - REDUCTION_START_RATIO) / (REDUCTION_END_RATIO - REDUCTION_START_RATIO))
         .coerceIn(0.0, 1.0)
-    val waitFraction = MAXIMUM_WAIT_FRACTION - reduction * (MAXIMUM_WAIT_FRACTION - MINIMUM_WAIT_FRACTION)
+    val excess = ((fairShareRatio - REDUCTION_END_RATIO) / (EXCESS_END_RATIO - REDUCTION_END_RATIO)).coerceIn(0.0, 1.0)
+    val waitFraction = MAXIMUM_WAIT_FRACTION - reduction * (MAXIMUM_WAIT_FRACTION - MINIMUM_WAIT_FRACTION) -
+        excess * (MINIMUM_WAIT_FRACTION - EXCESS_WAIT_FRACTION)
     val timeLeftMs = (objectiveMs - elapsedMs).toDouble()
     val waitLimitMs = maxOf(timeLeftMs * waitFraction, objectiveMs * LATE_WAIT_FRACTION)
     val missWeight = (fairShareRatio - MISS_WEIGHT_START_RATIO) / (MISS_WEIGHT_END_RATIO - MISS_WEIGHT_START_RATIO)
