Leave the load balancer's rotation under overload while the data centre's other routers are idle

Cause: the load balancer assigns connections by the caller and knows of a router only whether it is ready. A router said so however late it read. Class of fault: a health signal that does not carry overload.

Why it works: new connections reach the neighbours, each router keeps what it has open. A late router whose peers out of rotation idle closes the connections of those it refuses, so that they use the ones that they have there.

DigestSender is split off from PeerExchange, which had grown.

--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/DigestSender.kt
@@ -0,0 +1,83 @@
+package corneltrack.router.relay
+
+import corneltrack.policy.limits.LimitObservation
+import corneltrack.policy.placement.WorkspaceRate
+import corneltrack.wire.HostAndPort
+import corneltrack.wire.wireProtobuf
+import corneltrack.world.InstanceId
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.socket.DatagramPacket
+import kotlinx.serialization.encodeToByteArray
+
+/** How many digests to one peer report the same cached prefix; makes up for lost datagrams. */
+private const val PREFIX_REPORT_COPIES = 2
+
+/** How long an observed limit of an endpoint is told to peers, in ms; longer than digests take to reach all of them. */
+private const val LIMIT_REPORT_MS = 3_000L
+
+/** Sends the digests of router [id] to its peers. Only used on the event loop. */
+internal class DigestSender(private val id: InstanceId, private val shared: SharedState) {
+    private val load = shared.load
+    private var idleDigestSent = false
+
+    /** The UDP socket; nothing is sent while it is null. */
+    var channel: Channel? = null
+
+    /** Sends the load of this router to those [recipients] that are due; once to other regions while it is idle. */
+    fun sendDueLoads(recipients: Recipients, nowMs: Long) {
+        val idle = load.shares.ownRates(nowMs).isEmpty() &&
+            load.states.all().values.none { it.engine.ownLoad.running > 0 }
+        sendLoad(recipients.inRegion, nowMs)
+        if (!idle || !idleDigestSent) sendLoad(recipients.crossRegion, nowMs)
+        idleDigestSent = idle
+    }
+
+    /** Sends the load of this router to [group]. */
+    fun sendLoad(group: RecipientGroup, nowMs: Long) {
+        if (group.peers.isEmpty()) return
+        val endpoints = load.states.digests(group, nowMs)
+        val workspaces = load.shares.ownRates(nowMs).map { (id, rate) -> id.value to rate.toDigest() }.toMap()
+        send(PeerDigest(id.value, endpoints, workspaces, router = shared.routerLoad()), group.peers)
+    }
+
+    /** Sends [digest] to [recipients]. */
+    fun send(digest: PeerDigest, recipients: Collection<PeerRecord>) {
+        val current = channel ?: return
+        if (recipients.isEmpty()) return
+        val bytes = wireProtobuf.encodeToByteArray(digest)
+        recipients.mapNotNull { HostAndPort.parse(it.address) }.filter { it.isReachable }.forEach { address ->
+            current.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), address.toSocketAddress()))
+        }
+        current.flush()
+    }
+}
+
+/** Returns the load on each endpoint in use and the prefixes cached since the last digests to [group], by ID. */
+private fun EndpointStates.digests(group: RecipientGroup, nowMs: Long): Map<String, EndpointDigest> {
+    val sinceMs = nowMs - PREFIX_REPORT_COPIES * group.cycle * DIGEST_PERIOD_MS
+    return buildMap {
+        all().forEach { (id, state) ->
+            val prefixes = state.prefixReports.since(sinceMs)
+            val limit = state.limit.recentObservation(nowMs, LIMIT_REPORT_MS)?.toDigest(nowMs)
+            val inUse = state.engine.ownLoad.running > 0 || prefixes.isNotEmpty() || limit != null
+            if (inUse) put(id.value, state.toDigest(prefixes, limit))
+        }
+    }
+}
+
+private fun WorkspaceRate.toDigest() = WorkspaceDigest(requested.toLong(), granted.toLong(), attempted.toLong())
+
+private fun EndpointState.toDigest(cachedPrefixes: List<Long>, limit: LimitDigest?): EndpointDigest {
+    val load = engine.ownLoad
+    return EndpointDigest(
+        load.pendingPrefillTokens,
+        load.running,
+        load.kvCacheTokens,
+        startedAtMs,
+        cachedPrefixes,
+        limit,
+    )
+}
+
+private fun LimitObservation.toDigest(nowMs: Long) = LimitDigest(requestsPerSecond, nowMs - observedMs)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerDigest.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerDigest.kt
@@ -38,6 +38,15 @@
 @Serializable
 internal data class LimitDigest(val requestsPerSecond: Double? = null, val ageMs: Long)
 
+/**
+ * How loaded a router is.
+ *
+ * @property lagMs how late it reads requests.
+ * @property inRotation whether it wants the load balancer to route new connections of callers to it.
+ */
+@Serializable
+internal data class RouterDigest(val lagMs: Long, val inRotation: Boolean)
+
 /**
  * What a workspace requested, was granted and tried to place at one router, in tokens per second.
  *
@@ -56,6 +65,7 @@
  * @property workspaces the token rates of each active workspace, by workspace ID.
  * @property crashes crashes of endpoints that were about to answer prompts.
  * @property answered suspected parts of prompts that have been answered since.
+ * @property router how loaded the router itself is; null in digests of routers that do not report it.
  * @property watermarks how far the router has read each topic of the store, by topic name.
  */
 @Serializable
@@ -67,6 +77,7 @@
     val watermarks: Map<String, TopicWatermark> = emptyMap(),
     val crashes: List<CrashReport> = emptyList(),
     val answered: List<PartAnswered> = emptyList(),
+    val router: RouterDigest? = null,
 ) {
     val carriesLoad: Boolean
         get() = suspicions.isEmpty() && watermarks.isEmpty() && crashes.isEmpty() && answered.isEmpty()
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
@@ -3,16 +3,12 @@
 import corneltrack.policy.Suspicion
 import corneltrack.policy.discovery.Clocks
 import corneltrack.policy.limits.FleetPosition
-import corneltrack.policy.limits.LimitObservation
-import corneltrack.policy.placement.WorkspaceRate
-import corneltrack.wire.HostAndPort
+import corneltrack.policy.limits.RotationPeers
 import corneltrack.wire.event
 import corneltrack.wire.wireProtobuf
 import corneltrack.world.InstanceId
 import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.ByteBufUtil
-import io.netty.buffer.Unpooled
-import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
@@ -22,20 +18,13 @@
 import io.netty.channel.socket.nio.NioDatagramChannel
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.decodeFromByteArray
-import kotlinx.serialization.encodeToByteArray
 import kotlinx.serialization.encodeToString
 import kotlinx.serialization.json.Json
 import org.apache.logging.log4j.Level
 import org.apache.logging.log4j.LogManager
 import java.util.concurrent.TimeUnit
 
-private const val DIGEST_PERIOD_MS = 100L
-
-/** How many digests to one peer report the same cached prefix; makes up for lost datagrams. */
-private const val PREFIX_REPORT_COPIES = 2
-
-/** How long an observed limit of an endpoint is told to peers, in ms; longer than digests take to reach all of them. */
-private const val LIMIT_REPORT_MS = 3_000L
+internal const val DIGEST_PERIOD_MS: Long = 100L
 
 /** Suspicions are sent once, not periodically, so copies make up for lost datagrams. */
 private const val SUSPICION_COPIES = 3
@@ -58,11 +47,13 @@
  * @property load the load of this router and, from digests, of its peers.
  * @property partSuspects the parts of prompts under which endpoints crash.
  * @property followers returns the followers of all topics but that of the peers.
+ * @property routerLoad returns how loaded this router is.
  */
 internal class SharedState(
     val load: FleetLoad,
     val partSuspects: PartSuspects,
     val followers: () -> List<TopicFollower>,
+    val routerLoad: () -> RouterDigest,
 )
 
 /**
@@ -88,8 +79,7 @@
     private val follower =
         TopicFollower(FollowedTopic("peers", topic, PEER_POLL_TIMING), loop, clock, ::rank, peers::onRecord)
     private val watermarks = WatermarkExchange(clock) { shared.followers() + follower }
-    private var channel: Channel? = null
-    private var idleDigestSent = false
+    private val sender = DigestSender(settings.id, shared)
     private var digestNumber = 0L
 
     /** The number of peers that have announced themselves in the store. */
@@ -97,7 +87,7 @@
 
     /** Binds the UDP socket, announces this router in the store and follows the announcements of the others. */
     fun start() {
-        channel = Bootstrap().group(loop).channel(NioDatagramChannel::class.java)
+        sender.channel = Bootstrap().group(loop).channel(NioDatagramChannel::class.java)
             .option(ChannelOption.RECVBUF_ALLOCATOR, datagramAllocator())
             .handler(DigestHandler()).bind(settings.peers.toSocketAddress()).sync().channel()
         loop.execute {
@@ -113,7 +103,7 @@
     /** Sends [suspicion] to all peers. */
     fun share(suspicion: Suspicion) {
         val digest = PeerDigest(settings.id.value, suspicions = listOf(suspicion))
-        repeat(SUSPICION_COPIES) { send(digest, peers.all) }
+        repeat(SUSPICION_COPIES) { sender.send(digest, peers.all) }
     }
 
     private fun announce() {
@@ -126,44 +116,27 @@
     /** Returns how many live routers of the region come before this one in the order of polling the store. */
     fun rank(): Int = peers.rank(clock().monotonicMs)
 
+    /** Tells the peers of this data centre at once how loaded this router is. */
+    fun shareLoad() = sender.sendLoad(peers.inDataCentre, clock().monotonicMs)
+
+    /** Returns how loaded the other routers of the data centre say that they are. */
+    fun rotationPeers(): RotationPeers = peers.rotationPeers(clock().monotonicMs)
+
     /** Returns this router's place among all listed routers, or null until their list has been loaded. */
     fun fleetPosition(): FleetPosition? =
         if (follower.asOf == null) null else FleetPosition(peers.position, peers.all.size + 1)
 
     private fun onTick() {
-        sendDigest()
+        sender.sendDueLoads(peers.recipients(digestNumber++), clock().monotonicMs)
         val due = watermarks.due()
-        if (due.isNotEmpty()) send(PeerDigest(settings.id.value, watermarks = due), peers.inRegion)
-        shared.partSuspects.dueReports(settings.id.value)?.let { send(it, peers.all) }
-    }
-
-    private fun sendDigest() {
-        val nowMs = clock().monotonicMs
-        val workspaces = load.shares.ownRates(nowMs)
-            .map { (id, rate) -> id.value to rate.toDigest() }.toMap()
-        val recipients = peers.recipients(digestNumber++)
-        val idle = workspaces.isEmpty() && load.states.all().values.none { it.engine.ownLoad.running > 0 }
-        val groups = listOfNotNull(recipients.inRegion, recipients.crossRegion.takeUnless { idle && idleDigestSent })
-        groups.filter { it.peers.isNotEmpty() }.forEach { group ->
-            send(PeerDigest(settings.id.value, load.states.digests(group, nowMs), workspaces), group.peers)
-        }
-        idleDigestSent = idle
-    }
-
-    private fun send(digest: PeerDigest, recipients: Collection<PeerRecord>) {
-        val current = channel ?: return
-        if (recipients.isEmpty()) return
-        val bytes = wireProtobuf.encodeToByteArray(digest)
-        recipients.mapNotNull { HostAndPort.parse(it.address) }.filter { it.isReachable }.forEach { address ->
-            current.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), address.toSocketAddress()))
-        }
-        current.flush()
+        if (due.isNotEmpty()) sender.send(PeerDigest(settings.id.value, watermarks = due), peers.inRegion)
+        shared.partSuspects.dueReports(settings.id.value)?.let { sender.send(it, peers.all) }
     }
 
     private fun onDigest(digest: PeerDigest) {
         val peer = InstanceId(digest.sender)
         val nowMs = clock().monotonicMs
-        peers.onDigest(peer, nowMs)
+        peers.onDigest(peer, digest.router, nowMs)
         digest.suspicions.forEach(onSuspicion)
         watermarks.onPeer(digest.watermarks)
         shared.partSuspects.onPeer(digest)
@@ -192,32 +165,3 @@
 
 private fun datagramAllocator() =
     FixedRecvByteBufAllocator(MAXIMUM_DATAGRAM_BYTES).maxMessagesPerRead(DATAGRAMS_PER_ITERATION)
-
-/** Returns the load on each endpoint in use and the prefixes cached since the last digests to [group], by ID. */
-private fun EndpointStates.digests(group: RecipientGroup, nowMs: Long): Map<String, EndpointDigest> {
-    val sinceMs = nowMs - PREFIX_REPORT_COPIES * group.cycle * DIGEST_PERIOD_MS
-    return buildMap {
-        all().forEach { (id, state) ->
-            val prefixes = state.prefixReports.since(sinceMs)
-            val limit = state.limit.recentObservation(nowMs, LIMIT_REPORT_MS)?.toDigest(nowMs)
-            val inUse = state.engine.ownLoad.running > 0 || prefixes.isNotEmpty() || limit != null
-            if (inUse) put(id.value, state.toDigest(prefixes, limit))
-        }
-    }
-}
-
-private fun WorkspaceRate.toDigest() = WorkspaceDigest(requested.toLong(), granted.toLong(), attempted.toLong())
-
-private fun EndpointState.toDigest(cachedPrefixes: List<Long>, limit: LimitDigest?): EndpointDigest {
-    val load = engine.ownLoad
-    return EndpointDigest(
-        load.pendingPrefillTokens,
-        load.running,
-        load.kvCacheTokens,
-        startedAtMs,
-        cachedPrefixes,
-        limit,
-    )
-}
-
-private fun LimitObservation.toDigest(nowMs: Long) = LimitDigest(requestsPerSecond, nowMs - observedMs)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerTable.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerTable.kt
@@ -2,6 +2,8 @@
 
 import corneltrack.policy.discovery.digestCycle
 import corneltrack.policy.discovery.isDigestDue
+import corneltrack.policy.limits.LATE_LAG_MS
+import corneltrack.policy.limits.RotationPeers
 import corneltrack.wire.event
 import corneltrack.world.DataCentreId
 import corneltrack.world.InstanceId
@@ -36,6 +38,7 @@
 internal class PeerTable(private val settings: RelaySettings) {
     private val peers = LinkedHashMap<InstanceId, PeerRecord>()
     private val lastDigestMs = HashMap<InstanceId, Long>()
+    private val routerLoads = HashMap<InstanceId, RouterDigest>()
 
     /** All known peers. */
     val all: Collection<PeerRecord> get() = peers.values
@@ -46,15 +49,39 @@
     /** The known peers of this region. */
     val inRegion: Collection<PeerRecord> get() = peers.values.filter { it.isInRegion() }
 
-    /** Records that a digest of [peer] arrived. */
-    fun onDigest(peer: InstanceId, nowMs: Long) {
+    /** The known peers of this data centre. */
+    val inDataCentre: RecipientGroup
+        get() = RecipientGroup(peers.values.filter { it.dataCentre == settings.dataCentre.value }, cycle = 1)
+
+    /** Records that a digest of [peer] arrived, and how loaded it says that it is. */
+    fun onDigest(peer: InstanceId, load: RouterDigest?, nowMs: Long) {
         lastDigestMs[peer] = nowMs
+        load?.let { routerLoads[peer] = it }
+    }
+
+    /** Returns how loaded the routers of this data centre are, as far as they have reported lately. */
+    fun rotationPeers(nowMs: Long): RotationPeers {
+        val sameDataCentre = peers.filterValues { it.dataCentre == settings.dataCentre.value }.keys
+        val loads = sameDataCentre.filter { isResponsive(it, nowMs) }
+            .mapNotNull { id -> routerLoads[id]?.let { id to it } }
+        val (inRotation, out) = loads.partition { it.second.inRotation }
+        val (late, idle) = inRotation.partition { it.second.lagMs > LATE_LAG_MS }
+        return RotationPeers(
+            routers = sameDataCentre.size + 1,
+            idlePeers = idle.size,
+            outOfRotation = sameDataCentre.size - inRotation.size,
+            latePeersBefore = late.count { it.first.value < settings.id.value },
+            idleOutOfRotation = out.count { it.second.lagMs <= LATE_LAG_MS },
+        )
     }
 
+    private fun isResponsive(peer: InstanceId, nowMs: Long) =
+        lastDigestMs[peer].let { it != null && nowMs - it < DIGEST_TIMEOUT_MS }
+
     /** Returns how many responsive peers of this region have an ID that sorts before this router's. */
     fun rank(nowMs: Long): Int = peers.count { (id, record) ->
         id.value < settings.id.value && record.isInRegion() &&
-            lastDigestMs[id].let { it != null && nowMs - it < DIGEST_TIMEOUT_MS }
+            isResponsive(id, nowMs)
     }
 
     /** Returns the peers that receive digest [number], counted from the start of the process. */
@@ -77,7 +104,10 @@
         if (id == settings.id) return true
         val peer = record.value?.let(::decodeRecord)
         if (peer == null) peers.remove(id) else peers[id] = peer
-        if (peer == null) lastDigestMs.remove(id)
+        if (peer == null) {
+            lastDigestMs.remove(id)
+            routerLoads.remove(id)
+        }
         logger.event(if (peer == null) "peer_left" else "peer_found") {
             field("peer", id)
             field("peers", peers.size)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
@@ -56,11 +56,14 @@
     private val routingState = RoutingState(source, settings.bounds, loop, clock, { peers.rank() }, ::onTable)
     private val suspects = CrashSuspects(wallClock) { peers.share(it) }
     private val partSuspects = PartSuspects(wallClock)
-    private val shared = SharedState(load, partSuspects) { routingState.followers }
+    private val eventLoopLag = EventLoopLag(LAG_SAMPLE_INTERVAL_MS)
+    private val rotation = RotationControl(settings.id, eventLoopLag, { peers.rotationPeers() }) { peers.shareLoad() }
+    private val shared = SharedState(load, partSuspects, { routingState.followers }) {
+        RouterDigest(eventLoopLag.lagMs(monotonicClock()), rotation.inRotation)
+    }
     private val peers: PeerExchange =
         PeerExchange(settings, source.peers, loop, clock, shared, suspects::onPeerSuspicion)
     private val metrics = RelayMetrics()
-    private val eventLoopLag = EventLoopLag(LAG_SAMPLE_INTERVAL_MS)
     private val context = RelayContext(
         loop,
         headerMapping,
@@ -81,7 +84,9 @@
     )
     private val connections = CallerConnections(settings.maximumCallerConnections)
     private val loadReport = LoadReport(eventLoopLag, connections, load.shares, metrics)
-    private val callHandler = CallHandler(routingState, context, load.shares, eventLoopLag, loadReport)
+    private val callHandler = CallHandler(routingState, context, load.shares, eventLoopLag, loadReport) {
+        rotation.peersOutOfRotationIdle
+    }
     private val callers = CallerServer(eventLoopGroup) {
         CallerConnection(connectionLimits, connections) { request, _, sink -> callHandler.handle(request, sink) }
     }
@@ -95,7 +100,8 @@
         get() = !connections.draining &&
             routingState.table != null &&
             routingState.endpointsLoaded &&
-            !routingState.keysStale()
+            !routingState.keysStale() &&
+            rotation.inRotation
 
     /** Binds the listening addresses and starts to follow the store. Throws if an address is in use. */
     public fun start(): RelayRouter {
@@ -160,6 +166,7 @@
         val nowMs = monotonicClock()
         eventLoopLag.onTick(nowMs)
         loadReport.onLagSample(nowMs)
+        rotation.update(nowMs)
     }
 
     private fun runMaintenance() {
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/PeerExchangeTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/PeerExchangeTest.kt
@@ -51,7 +51,7 @@
         FakeTopic(loop).topic,
         loop,
         { ClockReading(monotonicClock(), wallClock()) },
-        SharedState(load, PartSuspects(wallClock)) { emptyList() },
+        SharedState(load, PartSuspects(wallClock), { emptyList() }) { RouterDigest(lagMs = 0, inRotation = true) },
     ) { }
 
     @AfterTest
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayFixture.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayFixture.kt
@@ -5,6 +5,7 @@
 import corneltrack.policy.placement.PromptSegment
 import corneltrack.policy.placement.promptSegments
 import corneltrack.wire.HostAndPort
+import corneltrack.wire.wireProtobuf
 import corneltrack.world.DataCentreId
 import corneltrack.world.Endpoint
 import corneltrack.world.EndpointId
@@ -26,6 +27,10 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
 import io.netty.handler.codec.http.HttpHeaders
+import kotlinx.serialization.encodeToByteArray
+import kotlinx.serialization.encodeToString
+import java.net.DatagramPacket
+import java.net.DatagramSocket
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
@@ -113,6 +118,19 @@
     /** Writes the operators' record that evacuates [dataCentre]. */
     fun evacuate(dataCentre: String) = operator.put(dataCentre, "")
 
+    /** Announces a peer of the router's data centre in the store; it receives nothing. */
+    fun announcePeer(name: String) {
+        val record = PeerRecord("here", "127.0.0.1:${freePorts(count = 1).single()}")
+        peers.put(name, peerJson.encodeToString(record))
+    }
+
+    /** Sends the router a digest of [peer]. */
+    fun sendDigest(peer: String, load: RouterDigest) {
+        val bytes = wireProtobuf.encodeToByteArray(PeerDigest(peer, router = load))
+        val address = InetAddress.getByName(settings.peers.host)
+        DatagramSocket().use { it.send(DatagramPacket(bytes, bytes.size, address, settings.peers.port)) }
+    }
+
     /** Makes the store stop responding, or respond again. */
     fun setStoreUnavailable(unavailable: Boolean) =
         listOf(operator, endpoints, peers).forEach { it.unavailable = unavailable }
