Leave callers of a flood their connections also while peers out of rotation idle

A late router closed the connections of those it refused while a router out of rotation read in time, so that callers would use the ones that they have there. Each closed connection is accepted again at a router that is late already.

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/limits/OverloadRotation.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/limits/OverloadRotation.kt
@@ -40,14 +40,12 @@
  * @property idlePeers the peers known to be in rotation and to read their requests in time.
  * @property outOfRotation the peers known to be out of rotation, and those that have not been heard lately.
  * @property latePeersBefore the late peers in rotation that have precedence in leaving it.
- * @property idleOutOfRotation those of [outOfRotation] that are known to read their requests in time.
  */
 public data class RotationPeers(
     val routers: Int,
     val idlePeers: Int,
     val outOfRotation: Int,
     val latePeersBefore: Int,
-    val idleOutOfRotation: Int = 0,
 )
 
 /**
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerResponse.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerResponse.kt
@@ -71,14 +71,14 @@
     }
 
     override fun refuse(refusal: Refusal) {
-        val response = jsonResponse(refusal.status, refusal.body, keepAlive() && !refusal.closesConnection)
+        val response = jsonResponse(refusal.status, refusal.body)
         response.headers().set(OUTCOME_HEADER, refusal.outcome.text)
         refusal.retryAfterMs?.let { response.headers().set(HttpHeaderNames.RETRY_AFTER, toSeconds(it)) }
         write(response)
     }
 
     /** Sends a complete response with status 200 and the JSON [body]. */
-    fun sendJson(body: String) = write(jsonResponse(HttpResponseStatus.OK, body, keepAlive()))
+    fun sendJson(body: String) = write(jsonResponse(HttpResponseStatus.OK, body))
 
     override fun abort(reason: String) {
         if (!ended) {
@@ -97,13 +97,13 @@
         }
     }
 
-    private fun jsonResponse(status: HttpResponseStatus, body: String, staysOpen: Boolean): DefaultFullHttpResponse {
+    private fun jsonResponse(status: HttpResponseStatus, body: String): DefaultFullHttpResponse {
         val content = Unpooled.copiedBuffer(body, Charsets.UTF_8)
         val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content)
         response.headers()
             .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
             .setInt(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes())
-        closesConnection = !staysOpen
+        closesConnection = !keepAlive()
         if (closesConnection) {
             response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/callers/ResponseSink.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/callers/ResponseSink.kt
@@ -35,7 +35,6 @@
  * @property code the machine-readable error code of the body.
  * @property message the explanation in the body.
  * @property retryAfterMs the delay after which a retry makes sense, in ms; null if none does.
- * @property closesConnection whether the caller's further requests are better sent on another connection.
  */
 internal data class Refusal(
     val status: HttpResponseStatus,
@@ -43,7 +42,6 @@
     val message: String,
     val outcome: Outcome = Outcome.NOT_RUN,
     val retryAfterMs: Long? = null,
-    val closesConnection: Boolean = false,
 ) {
     /** The JSON body of the response; kept, since a router under a flood sends the same refusal again and again. */
     internal val body: String by lazy(LazyThreadSafetyMode.PUBLICATION) {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallHandler.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallHandler.kt
@@ -31,18 +31,13 @@
 /** Matches no data centre; stands for an empty set of allowed regions, since an empty set allows all. */
 private val NO_REGION = RegionId("")
 
-/**
- * Admits or refuses the requests of callers and runs the admitted ones. Confined to the event loop.
- *
- * @param peersOutOfRotationIdle returns whether callers had better use their connections to routers out of rotation.
- */
+/** Admits or refuses the requests of callers and runs the admitted ones. Confined to the event loop. */
 internal class CallHandler(
     private val routingState: RoutingState,
     private val context: RelayContext,
     private val shares: FairShareTracker,
     private val eventLoopLag: EventLoopLag,
     private val loadReport: LoadReport,
-    private val peersOutOfRotationIdle: () -> Boolean,
 ) {
     private val longestTimeLeftMs = HashMap<String, Long>()
     private val shedding = LoadShedding(eventLoopLag, shares)
@@ -63,8 +58,7 @@
     private fun admit(metadata: CallerMetadata): CallAdmission {
         if (closed) return CallAdmission.Refused(SHUTTING_DOWN)
         return when (shedding.decide(keyHolder(metadata), metadata.generation?.cost, context.nowMs())) {
-            SheddingDecision.OVERLOADED ->
-                CallAdmission.Refused(if (peersOutOfRotationIdle()) OVERLOADED_OTHERS_IDLE else OVERLOADED)
+            SheddingDecision.OVERLOADED -> CallAdmission.Refused(OVERLOADED)
             SheddingDecision.ABOVE_FAIR_SHARE -> CallAdmission.Refused(ABOVE_FAIR_SHARE)
             SheddingDecision.ADMIT -> {
                 val random = ThreadLocalRandom.current().nextDouble()
@@ -168,7 +162,6 @@
     "This router cannot keep up with its callers.",
     retryAfterMs = OVERLOADED_RETRY_MS,
 )
-private val OVERLOADED_OTHERS_IDLE = OVERLOADED.copy(closesConnection = true)
 private val ABOVE_FAIR_SHARE = Refusal(
     HttpResponseStatus.SERVICE_UNAVAILABLE,
     "above_fair_share",
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerTable.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerTable.kt
@@ -64,14 +64,13 @@
         val sameDataCentre = peers.filterValues { it.dataCentre == settings.dataCentre.value }.keys
         val loads = sameDataCentre.filter { isResponsive(it, nowMs) }
             .mapNotNull { id -> routerLoads[id]?.let { id to it } }
-        val (inRotation, out) = loads.partition { it.second.inRotation }
+        val inRotation = loads.filter { it.second.inRotation }
         val (late, idle) = inRotation.partition { it.second.lagMs > LATE_LAG_MS }
         return RotationPeers(
             routers = sameDataCentre.size + 1,
             idlePeers = idle.size,
             outOfRotation = sameDataCentre.size - inRotation.size,
             latePeersBefore = late.count { it.first.value < settings.id.value },
-            idleOutOfRotation = out.count { it.second.lagMs <= LATE_LAG_MS },
         )
     }
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
@@ -84,9 +84,7 @@
     )
     private val connections = CallerConnections(settings.maximumCallerConnections)
     private val loadReport = LoadReport(eventLoopLag, connections, load.shares, metrics)
-    private val callHandler = CallHandler(routingState, context, load.shares, eventLoopLag, loadReport) {
-        rotation.peersOutOfRotationIdle
-    }
+    private val callHandler = CallHandler(routingState, context, load.shares, eventLoopLag, loadReport)
     private val callers = CallerServer(eventLoopGroup) {
         CallerConnection(connectionLimits, connections) { request, _, sink -> callHandler.handle(request, sink) }
     }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RotationControl.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RotationControl.kt
@@ -30,20 +30,10 @@
     var inRotation: Boolean = true
         private set
 
-    /**
-     * Whether refused callers are better served on the connections that they have to routers out of rotation.
-     *
-     * Callers prefer connections that they opened last: without this, those of the router that left idle, and with them
-     * that router, while all callers of a flood reach the next one.
-     */
-    var peersOutOfRotationIdle: Boolean = false
-        private set
-
     /** Decides again whether this router is in rotation. */
     fun update(nowMs: Long) {
         val lagMs = eventLoopLag.lagMs(nowMs)
         val known = peers()
-        peersOutOfRotationIdle = inRotation && known.idleOutOfRotation > 0
         if (!rotation.update(lagMs, known, nowMs)) return
         inRotation = rotation.inRotation
         onChange()
