--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/limits/OverloadRotation.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/limits/OverloadRotation.kt
@@ -1,7 +1,7 @@
 package corneltrack.policy.limits
 
 /** The lag of the event loop above which a router counts as late, in ms; longer than a garbage collection pause. */
-public const val LATE_LAG_MS: Long = 150L
+private const val LATE_LAG_MS = 150L
 
 /** A router that was late for less than this has only paused, in ms. */
 private const val PAUSE_MS = 300L
@@ -33,6 +33,14 @@
 /** The saved time without which leaving would not be noticed by the load balancer, in ms. */
 private const val MINIMUM_USEFUL_OUT_MS = 3_000.0
 
+/**
+ * The last report of a router on its own load.
+ *
+ * @property lagMs the lag of its event loop.
+ * @property inRotation whether new connections of callers should reach it.
+ */
+public data class RotationReport(val lagMs: Long, val inRotation: Boolean)
+
 /**
  * Describes the routers of a data centre as one of them knows them.
  *
@@ -48,6 +56,27 @@
     val latePeersBefore: Int,
 )
 
+/**
+ * Summarizes what router [own] knows of its peers.
+ *
+ * @param listed how many routers the data centre has, this one included.
+ * @param reports the peers' reports; silent peers are missing.
+ */
+public fun <Id : Comparable<Id>> rotationPeers(
+    own: Id,
+    listed: Int,
+    reports: Map<Id, RotationReport>,
+): RotationPeers {
+    val inRotation = reports.filterValues { it.inRotation }
+    val late = inRotation.filterValues { it.lagMs > LATE_LAG_MS }
+    return RotationPeers(
+        routers = listed,
+        idlePeers = inRotation.size - late.size,
+        outOfRotation = listed - 1 - inRotation.size,
+        latePeersBefore = late.keys.count { it < own },
+    )
+}
+
 /**
  * Decides when an overloaded router leaves the rotation of the load balancer, so that new connections reach its peers.
  *
--- a/corneltrack-policy/src/test/kotlin/corneltrack/policy/limits/RotationFleetModel.kt
+++ b/corneltrack-policy/src/test/kotlin/corneltrack/policy/limits/RotationFleetModel.kt
@@ -39,11 +39,11 @@
 
 /** Plays routers behind a load balancer that leave its rotation under overload, in virtual time. */
 internal class RotationFleetModel(private val plan: RotationFleetPlan) {
-    private data class Report(val lagMs: Long, val inRotation: Boolean, val atMs: Long)
+    private data class HeardReport(val report: RotationReport, val atMs: Long)
 
     private inner class Router(val index: Int) {
         val rotation = OverloadRotation(spread = index.toDouble() / plan.routers)
-        val heard = HashMap<Int, Report>()
+        val heard = HashMap<Int, HeardReport>()
         var connections = 0.0
         var misses = 0
 
@@ -55,11 +55,8 @@
         val lagMs get() = if (load > 1) LATE_MS else IN_TIME_MS
 
         fun update(nowMs: Long): Boolean {
-            val fresh = heard.filterValues { nowMs - it.atMs < RESPONSIVE_MS }
-            val inRotation = fresh.entries.filter { it.value.inRotation }
-            val (late, idle) = inRotation.partition { it.value.lagMs > LATE_LAG_MS }
-            val out = plan.routers - 1 - inRotation.size
-            val peers = RotationPeers(plan.routers, idle.size, out, late.count { it.key < index })
+            val reports = heard.filterValues { nowMs - it.atMs < RESPONSIVE_MS }.mapValues { it.value.report }
+            val peers = rotationPeers(index, plan.routers, reports)
             return rotation.update(lagMs, peers, nowMs)
         }
     }
@@ -97,7 +94,7 @@
 
     private fun sendDigest(sender: Router, nowMs: Long) {
         if (sender.index in plan.cut) return
-        val report = Report(sender.lagMs, sender.rotation.inRotation, nowMs)
+        val report = HeardReport(RotationReport(sender.lagMs, sender.rotation.inRotation), nowMs)
         routers.filter { it !== sender && it.runs(nowMs) && it.index !in plan.cut }
             .forEach { it.heard[sender.index] = report }
     }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerTable.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerTable.kt
@@ -2,8 +2,9 @@
 
 import corneltrack.policy.discovery.digestCycle
 import corneltrack.policy.discovery.isDigestDue
-import corneltrack.policy.limits.LATE_LAG_MS
 import corneltrack.policy.limits.RotationPeers
+import corneltrack.policy.limits.RotationReport
+import corneltrack.policy.limits.rotationPeers
 import corneltrack.wire.event
 import corneltrack.world.DataCentreId
 import corneltrack.world.InstanceId
@@ -62,16 +63,9 @@
     /** Returns how loaded the routers of this data centre are, as far as they have reported lately. */
     fun rotationPeers(nowMs: Long): RotationPeers {
         val sameDataCentre = peers.filterValues { it.dataCentre == settings.dataCentre.value }.keys
-        val loads = sameDataCentre.filter { isResponsive(it, nowMs) }
-            .mapNotNull { id -> routerLoads[id]?.let { id to it } }
-        val inRotation = loads.filter { it.second.inRotation }
-        val (late, idle) = inRotation.partition { it.second.lagMs > LATE_LAG_MS }
-        return RotationPeers(
-            routers = sameDataCentre.size + 1,
-            idlePeers = idle.size,
-            outOfRotation = sameDataCentre.size - inRotation.size,
-            latePeersBefore = late.count { it.first.value < settings.id.value },
-        )
+        val reports = sameDataCentre.filter { isResponsive(it, nowMs) }
+            .mapNotNull { id -> routerLoads[id]?.let { id.value to RotationReport(it.lagMs, it.inRotation) } }
+        return rotationPeers(settings.id.value, sameDataCentre.size + 1, reports.toMap())
     }
 
     private fun isResponsive(peer: InstanceId, nowMs: Long) =
