Accept all waiting connections in one iteration of the event loop

Cause: at most 256 connections were accepted in an iteration. A flooded router whose iterations take 200 to 800 ms leaves the rest in the backlog, where they wait for seconds that neither the lag of the event loop nor the request's own times show. It then serves requests whose callers have left, instead of refusing them as late. router_load at that router: accepted=1024 in a second, in batches of 256.

All that wait are accepted now, so the lag covers the whole wait. The test holds an event loop while 600 callers connect; before, the first request was handled with 512 connections accepted: expected: <600> but was: <512>

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerServer.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerServer.kt
@@ -20,8 +20,8 @@
 private const val HIGH_WATER_BYTES = 131_072
 private const val BACKLOG = 1_024
 
-/** With Netty's default of 16, new connections wait in the backlog while an event loop iteration takes long. */
-private const val ACCEPTS_PER_ITERATION = 256
+/** Connections that an iteration of the event loop leaves in the backlog wait there for a time that no lag shows. */
+private const val ACCEPTS_PER_ITERATION = BACKLOG
 
 /** The maximum number of flushes in one event loop iteration that share a system call, such as a head and an event. */
 private const val MAXIMUM_CONSOLIDATED_FLUSHES = 64
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/callers/CallerServerTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/callers/CallerServerTest.kt
@@ -24,6 +24,9 @@
 private const val MANY_CONNECTIONS = 16
 private const val READ_TIMEOUT_MS = 10_000
 
+/** Callers of a flood that connect during one iteration of an event loop; fits into the backlog. */
+private const val BURST = 600
+
 /** Far beyond what a loaded machine needs to answer a few requests. */
 private const val CLOSE_TIMEOUT_MS = 10_000L
 
@@ -142,6 +145,27 @@
         return text.toString()
     }
 
+    @Test
+    fun `no connection waits in the backlog unseen while an overloaded event loop serves those before it`() {
+        val many = CallerConnections()
+        val openAtFirstRequest = CompletableFuture<Int>()
+        val overloaded = CallerServer(group) {
+            CallerConnection(ConnectionLimits(bodyBytes = 1_024), many) { _, _, sink ->
+                openAtFirstRequest.complete(many.openCount)
+                sink.refuse(Refusal(HttpResponseStatus.SERVICE_UNAVAILABLE, "busy", "Come back later."))
+                ({})
+            }
+        }.start(HostAndPort("127.0.0.1", 0))
+        val allSent = CountDownLatch(1)
+        group.next().execute { allSent.await() }
+        val callers = List(BURST) { Socket("127.0.0.1", overloaded.port).also { it.sendRequest() } }
+        allSent.countDown()
+
+        assertEquals(BURST, openAtFirstRequest.get(), "connections accepted when the first request was read")
+        callers.forEach { it.close() }
+        overloaded.close()
+    }
+
     private fun connect() = Socket("127.0.0.1", server.port).apply { soTimeout = READ_TIMEOUT_MS }
 
     private fun Socket.sendRequest() {
