Find the engine to copy a prefix from without comparing all holders for each target

The two longest holders, of all and of each data centre, are found once a prompt now; the choice is the same (PrefixTransferTest).

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/PrefixTransfer.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/PrefixTransfer.kt
@@ -51,12 +51,24 @@
             }.filter { it.tokens > 0 }
         }
 
+    /** The two holders with the most tokens, of which one may be the target itself. */
+    private val best = holders.longestTwo()
+    private val bestByDataCentre = holders.groupBy { it.engine.dataCentre }.mapValues { (_, local) -> local.longestTwo() }
+
     /** Returns the best copy to [target], which has [cachedTokens] itself; null if a copy saves too little. */
-    fun transferTo(target: EngineCandidate, cachedTokens: Int): PrefixTransfer? =
-        holders.filter { it.engine !== target && it.tokens > cachedTokens }
-            .maxWithOrNull(compareBy({ it.tokens }, { it.engine.dataCentre == target.dataCentre }))
-            ?.let { PrefixTransfer(it.engine, it.tokens - cachedTokens, durationMs(it.tokens - cachedTokens)) }
-            ?.takeIf { it.tokens * target.load.prefillMsPerToken >= MINIMUM_TRANSFER_GAIN * it.durationMs }
+    fun transferTo(target: EngineCandidate, cachedTokens: Int): PrefixTransfer? {
+        val overall = best.other(target) ?: return null
+        val local = bestByDataCentre[target.dataCentre]?.other(target)
+        val source = if (local != null && local.tokens == overall.tokens) local else overall
+        val tokens = source.tokens - cachedTokens
+        val durationMs = durationMs(tokens)
+        val worthwhile = tokens > 0 && tokens * target.load.prefillMsPerToken >= MINIMUM_TRANSFER_GAIN * durationMs
+        return if (worthwhile) PrefixTransfer(source.engine, tokens, durationMs) else null
+    }
+
+    private fun List<Source>.longestTwo(): List<Source> = sortedByDescending { it.tokens }.take(2)
+
+    private fun List<Source>.other(target: EngineCandidate): Source? = firstOrNull { it.engine !== target }
 
     private fun durationMs(tokens: Int) = TRANSFER_SETUP_MS + tokens * (caching.transferMsPerToken ?: 0.0)
 }
