Let a pause of a router that is out of rotation not restart the time to its return

At 13.7 s 24 engines crashed, which made routers all over the fleet late for 0.1 to 0.2 s; the router returned at 16.35 s only. Meanwhile the flood reached a router that had just started, and the workspace's requests were placed 17 and 6 times in two seconds.

Cause: any lag counted as the overload that a router is out for. A pause puts the return off by half a second only now, as it did for a router that left because of one. The new test fails on the code before.

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/limits/OverloadRotation.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/limits/OverloadRotation.kt
@@ -89,6 +89,7 @@
 public class OverloadRotation(private val spread: Double) {
     private var lateSinceMs: Long? = null
     private var lastLateMs: Long? = null
+    private var returnAtMs = Long.MIN_VALUE
     private var peersIdleAtMs = Long.MIN_VALUE / 2
     private var savedOutMs = MAXIMUM_OUT_MS
     private var updatedMs: Long? = null
@@ -113,15 +114,21 @@
         savedOutMs = minOf(MAXIMUM_OUT_MS, savedOutMs + change)
     }
 
+    /** A pause puts the return off by a little only, also for a router that is out for another reason. */
     private fun recordLag(lagMs: Long, nowMs: Long) {
         if (lagMs > LATE_LAG_MS) {
-            lateSinceMs = lateSinceMs ?: nowMs
+            val sinceMs = lateSinceMs ?: nowMs
+            lateSinceMs = sinceMs
             lastLateMs = nowMs
-        } else if (inRotation && lastLateMs?.let { nowMs - it > RETURN_AFTER_PAUSE_MS } ?: false) {
+            returnAtMs = maxOf(returnAtMs, nowMs + returnAfterMs(paused = nowMs - sinceMs < PAUSE_MS))
+        } else if (lastLateMs?.let { nowMs - it > RETURN_AFTER_PAUSE_MS } ?: false) {
             lateSinceMs = null
         }
     }
 
+    private fun returnAfterMs(paused: Boolean): Long =
+        if (paused) RETURN_AFTER_PAUSE_MS else RETURN_AFTER_MS + (spread * RETURN_SPREAD_MS).toLong()
+
     private fun shouldBeOut(peers: RotationPeers, nowMs: Long): Boolean {
         val peersIdle = peers.idlePeers >= MINIMUM_IDLE_FRACTION * peers.routers
         if (peersIdle) peersIdleAtMs = nowMs
@@ -135,11 +142,7 @@
     }
 
     private fun shouldStayOut(nowMs: Long): Boolean {
-        val lastLate = lastLateMs ?: return false
-        val paused = lateSinceMs?.let { lastLate - it < PAUSE_MS } ?: false
-        val spreadMs = (spread * RETURN_SPREAD_MS).toLong()
-        val returnAfterMs = if (paused) RETURN_AFTER_PAUSE_MS else RETURN_AFTER_MS + spreadMs
         val peersIdleLately = nowMs - peersIdleAtMs < PEERS_LATE_BEFORE_RETURN_MS
-        return savedOutMs > 0 && nowMs - lastLate < returnAfterMs && peersIdleLately
+        return savedOutMs > 0 && nowMs < returnAtMs && peersIdleLately
     }
 }
--- a/corneltrack-policy/src/test/kotlin/corneltrack/policy/limits/OverloadRotationTest.kt
+++ b/corneltrack-policy/src/test/kotlin/corneltrack/policy/limits/OverloadRotationTest.kt
@@ -81,6 +81,16 @@
         assertTrue(rotation.inRotation, "three seconds without lag are enough")
     }
 
+    @Test
+    fun `a pause of a router that is out of rotation does not restart the time to its return`() {
+        run(1_000, LATE_MS, idlePeers)
+        run(2_000, IN_TIME_MS, idlePeers)
+        run(200, LATE_MS, idlePeers)
+        run(700, IN_TIME_MS, idlePeers)
+
+        assertTrue(rotation.inRotation, "the pause ended 700 ms ago and the overload 2.9 s ago")
+    }
+
     @Test
     fun `routers that were late together return at different times`() {
         val returns = listOf(0.0, 1.0).map { spread ->
