Refuse at less cost: responses encoded once, one idle check a connection, prompts of refused requests not parsed

Per refusal it built and encoded the same response, cancelled and scheduled an idle check, copied the body by way of a composite buffer, and parsed the parts of the prompt, of which a refusal needs the tokens alone.

A refusal is encoded once by Netty's encoder and its bytes are sent to all; each connection has one idle check pending, which looks when the connection was last used; the parts are read when the request is admitted.

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/Generation.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/Generation.kt
@@ -33,8 +33,19 @@
     /** The segment that ends the prefix that other requests may share, or null if there is no such prefix. */
     val lastSharedSegment: PromptSegment? get() = segments.getOrNull(segments.size - 2)
 
+    /** The cost of the request, in tokens. */
+    val cost: Long get() = TokenCounts(promptTokens, outputTokens).cost
+}
+
+/**
+ * Holds how many tokens a request has.
+ *
+ * @property prompt the length of the prompt.
+ * @property output the tokens that an engine is expected to generate.
+ */
+public data class TokenCounts(val prompt: Int, val output: Int) {
     /** The cost of the request, in tokens: a prompt token counts once, a generated token twice. */
-    val cost: Long get() = promptTokens + 2L * outputTokens
+    val cost: Long get() = prompt + 2L * output
 }
 
 /** Returns the segments of a prompt, in order, from the [names] of its parts and their lengths in [tokens]. */
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/PrefixTransfer.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/PrefixTransfer.kt
@@ -53,7 +53,7 @@
 
     /** The two holders with the most tokens, of which one may be the target itself. */
     private val best = holders.longestTwo()
-    private val bestByDataCentre = holders.groupBy { it.engine.dataCentre }.mapValues { (_, local) -> local.longestTwo() }
+    private val bestByDataCentre = holders.groupBy { it.engine.dataCentre }.mapValues { it.value.longestTwo() }
 
     /** Returns the best copy to [target], which has [cachedTokens] itself; null if a copy saves too little. */
     fun transferTo(target: EngineCandidate, cachedTokens: Int): PrefixTransfer? {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerConnection.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerConnection.kt
@@ -69,8 +69,9 @@
     private var response: CallerResponse? = null
     private var closing = false
 
-    /** The timeout of the current phase: idle, reading a body or waiting until the caller reads its response. */
+    /** The timeout of reading a body or of waiting until the caller reads its response. */
     private var timer: ScheduledFuture<*>? = null
+    private val idleTimer = IdleTimer(limits.idleTimeoutMs, { idle }) { context?.close() }
     private val assembler = RequestAssembler()
 
     /** Messages decoded before the current response has ended. */
@@ -112,6 +113,7 @@
     override fun channelInactive(context: ChannelHandlerContext) {
         connections.onClosed(this)
         timer?.cancel(false)
+        idleTimer.cancel()
         response?.onCallerDisconnected()
         body?.release()
         body = null
@@ -147,28 +149,34 @@
             timer?.cancel(false)
             timer = null
             head = request
-            body = context.alloc().compositeBuffer(Int.MAX_VALUE)
         }
 
         fun onContent(context: ChannelHandlerContext, content: HttpContent) {
-            val received = body ?: return
+            val receivedBytes = (body?.readableBytes() ?: 0) + content.content().readableBytes()
             when {
                 content.decoderResult().isFailure -> refuseAndClose(context, UNREADABLE)
-                received.readableBytes() + content.content().readableBytes() > limits.bodyBytes ->
-                    refuseAndClose(context, BODY_TOO_LARGE)
+                receivedBytes > limits.bodyBytes -> refuseAndClose(context, BODY_TOO_LARGE)
+                content is LastHttpContent -> onComplete(context, joinBody(content))
                 else -> {
+                    val received = body ?: context.alloc().compositeBuffer(Int.MAX_VALUE).also { body = it }
                     received.addComponent(true, content.content().retain())
-                    if (content is LastHttpContent) onComplete(context)
                 }
             }
         }
 
-        private fun onComplete(context: ChannelHandlerContext) {
+        /** Returns the whole body; most bodies arrive with their [last] content alone. */
+        private fun joinBody(last: LastHttpContent): ByteArray {
+            val received = body ?: return last.content().bytes()
+            received.addComponent(true, last.content().retain())
+            body = null
+            return received.bytes().also { received.release() }
+        }
+
+        private fun onComplete(context: ChannelHandlerContext, body: ByteArray) {
             timer?.cancel(false)
-            val request = CallerRequest(head!!, body!!.bytes())
-            body?.release()
+            timer = null
+            val request = CallerRequest(head!!, body)
             head = null
-            body = null
             val keepAlive = HttpUtil.isKeepAlive(request.head)
             connections.onRequest()
             val current = CallerResponse(context, { keepAlive && connections.mayStayOpen }, connections::onWritten) {
@@ -193,7 +201,8 @@
 
     private fun awaitRequest(context: ChannelHandlerContext) {
         timer?.cancel(false)
-        timer = limits.idleTimeoutMs?.let { context.after(it) { closeIfIdle() } }
+        timer = null
+        idleTimer.restart(context.executor())
     }
 
     private fun refuseAndClose(context: ChannelHandlerContext, refusal: Refusal) {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerResponse.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerResponse.kt
@@ -16,14 +16,10 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
-import java.math.BigDecimal
 
 /** The delay before a retry where no better estimate is known, in ms. */
 internal const val DEFAULT_RETRY_AFTER_MS: Long = 1_000
 
-/** The response header that states whether the request ran, as an [Outcome]. */
-internal const val OUTCOME_HEADER: String = "x-corneltrack-outcome"
-
 /**
  * Writes one response to a caller. Only used on the connection's event loop.
  *
@@ -71,14 +67,17 @@
     }
 
     override fun refuse(refusal: Refusal) {
-        val response = jsonResponse(refusal.status, refusal.body)
-        response.headers().set(OUTCOME_HEADER, refusal.outcome.text)
-        refusal.retryAfterMs?.let { response.headers().set(HttpHeaderNames.RETRY_AFTER, toSeconds(it)) }
-        write(response)
+        if (ended) return
+        closesConnection = !keepAlive()
+        finish(context.writeAndFlush(refusal.encoded(closesConnection)))
     }
 
     /** Sends a complete response with status 200 and the JSON [body]. */
-    fun sendJson(body: String) = write(jsonResponse(HttpResponseStatus.OK, body))
+    fun sendJson(body: String) {
+        if (ended) return
+        closesConnection = !keepAlive()
+        finish(context.writeAndFlush(jsonResponse(HttpResponseStatus.OK, body, closesConnection)))
+    }
 
     override fun abort(reason: String) {
         if (!ended) {
@@ -97,27 +96,6 @@
         }
     }
 
-    private fun jsonResponse(status: HttpResponseStatus, body: String): DefaultFullHttpResponse {
-        val content = Unpooled.copiedBuffer(body, Charsets.UTF_8)
-        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content)
-        response.headers()
-            .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
-            .setInt(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes())
-        closesConnection = !keepAlive()
-        if (closesConnection) {
-            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
-        }
-        return response
-    }
-
-    private fun write(response: DefaultFullHttpResponse) {
-        if (ended) {
-            response.release()
-            return
-        }
-        finish(context.writeAndFlush(response))
-    }
-
     private fun finish(written: ChannelFuture) {
         val alreadyEnded = ended
         ended = true
@@ -131,10 +109,15 @@
     }
 }
 
-/** Formats [ms] in seconds, without a fraction for whole seconds. */
-private fun toSeconds(ms: Long): String =
-    if (ms % MS_PER_SECOND == 0L) "${ms / MS_PER_SECOND}" else BigDecimal.valueOf(ms, MS_DECIMALS).toPlainString()
+/** Returns a response with the JSON [body], which says so if it [closes] the connection. */
+internal fun jsonResponse(status: HttpResponseStatus, body: String, closes: Boolean): DefaultFullHttpResponse {
+    val content = Unpooled.copiedBuffer(body, Charsets.UTF_8)
+    val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, content)
+    response.headers()
+        .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
+        .setInt(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes())
+    if (closes) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+    return response
+}
 
-private const val MS_PER_SECOND = 1_000L
-private const val MS_DECIMALS = 3
 private val STATUSES_WITHOUT_BODY = setOf(HttpResponseStatus.NO_CONTENT.code(), HttpResponseStatus.NOT_MODIFIED.code())
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/callers/StrictServerCodec.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/callers/StrictServerCodec.kt
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelPromise
 import io.netty.channel.CombinedChannelDuplexHandler
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
@@ -32,6 +33,14 @@
         init(Decoder(config), Encoder())
     }
 
+    override fun write(context: ChannelHandlerContext, message: Any, promise: ChannelPromise) {
+        if (message is EncodedResponse) {
+            context.write(message.bytes(headOnly = method == HttpMethod.HEAD), promise)
+        } else {
+            super.write(context, message, promise)
+        }
+    }
+
     private inner class Decoder(config: HttpDecoderConfig) : HttpRequestDecoder(config) {
         override fun createMessage(initialLine: Array<String>): HttpMessage {
             val message = super.createMessage(initialLine)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallHandler.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallHandler.kt
@@ -57,7 +57,7 @@
 
     private fun admit(metadata: CallerMetadata): CallAdmission {
         if (closed) return CallAdmission.Refused(SHUTTING_DOWN)
-        return when (shedding.decide(keyHolder(metadata), metadata.generation?.cost, context.nowMs())) {
+        return when (shedding.decide(keyHolder(metadata), metadata.cost, context.nowMs())) {
             SheddingDecision.OVERLOADED -> CallAdmission.Refused(OVERLOADED)
             SheddingDecision.ABOVE_FAIR_SHARE -> CallAdmission.Refused(ABOVE_FAIR_SHARE)
             SheddingDecision.ADMIT -> {
@@ -117,7 +117,7 @@
             route = admission.route,
             pool = admission.pool,
             regions = allowedRegions(admission),
-            generation = metadata.generation,
+            generation = metadata.readGeneration(),
             times = callTimes(metadata, admission),
             message = CallerMessage(head.method(), head.uri(), head.headers(), request.body),
             sink = sink,
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/HeaderMapping.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/HeaderMapping.kt
@@ -14,7 +14,9 @@
  * @property path the path without the query string.
  * @property apiKey the API key, or null.
  * @property timeLeftMs how long the caller waits for the complete response, in ms, or null if not stated.
- * @property generation the work for a model engine, or null for other requests.
+ * @property cost the tokens that a model engine would process, or null for other requests.
+ * @property readGeneration reads the work for a model engine; returns null for other requests. What is refused does
+ *   without.
  */
 public data class CallerMetadata(
     val requestId: String?,
@@ -22,7 +24,8 @@
     val path: String,
     val apiKey: String?,
     val timeLeftMs: Long?,
-    val generation: Generation?,
+    val cost: Long?,
+    val readGeneration: () -> Generation?,
 )
 
 /**
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayFixture.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayFixture.kt
@@ -257,13 +257,15 @@
 private val testHeaderMapping = HeaderMapping(
     readRequest = { head ->
         val headers = head.headers()
+        val generation = headers.get("tokens")?.toInt()?.let { Generation(testSegments(headers), it, 1) }
         CallerMetadata(
             requestId = headers.get("request"),
             host = headers.get("host").orEmpty().substringBefore(':'),
             path = head.uri().substringBefore('?'),
             apiKey = headers.get("key"),
             timeLeftMs = headers.get("left")?.toLong(),
-            generation = headers.get("tokens")?.toInt()?.let { Generation(testSegments(headers), it, 1) },
+            cost = generation?.cost,
+            readGeneration = { generation },
         )
     },
     writeRequest = { headers, metadata ->
