Place late retries of a workspace below its share like other requests

From 10 to 18 s 72 to 247 requests a second of dabo00 were read and found no engine in time, most of them retries past their objective (207 of 219 in second 12) at expected waits of 59 to 337 ms, while the workspace stood at 55 to 90 % of its share and zira362 took the places.

Cause: a request past its objective may wait a fifth of the objective, whatever its workspace has had. A workspace above its share may wait up to a half, so it goes first. Below the share a late retry takes up to half the objective now.

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/AdmissionLimits.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/AdmissionLimits.kt
@@ -20,8 +20,12 @@
 private const val MISS_WEIGHT_END_RATIO = 0.9
 private const val MINIMUM_MISS_WEIGHT = 0.1
 
-/** The fraction of the objective that a request past its objective may still be expected to wait. */
-private const val LATE_WAIT_FRACTION = 0.2
+/**
+ * The fraction of the objective that a request past its objective may still be expected to wait: the maximum applies to
+ * workspaces well below their fair share, since those above it would take the place, the minimum to all others.
+ */
+private const val MAXIMUM_LATE_WAIT_FRACTION = 0.5
+private const val MINIMUM_LATE_WAIT_FRACTION = 0.2
 
 /** The fraction of the wait limit that the queueing delay of a prompt too long for the objective may take. */
 private const val QUEUE_WAIT_FRACTION = 0.35
@@ -42,7 +46,8 @@
  * Keeps queues short and fair under lasting overload:
  * - Workspaces at or above their fair share are refused at a shorter queue than others, so that the queue settles at a
  *   length where only they are refused.
- * - Retried requests past their objective yield to those that can still be served in time.
+ * - Retried requests past their objective yield to those that can still be served in time, unless their workspace is
+ *   below its fair share.
  * - A workspace far below its fair share whose preferred engines are busy may use other engines, although these have to
  *   prefill its shared prefix again.
  *
@@ -55,7 +60,9 @@
     val waitFraction = MAXIMUM_WAIT_FRACTION - reduction * (MAXIMUM_WAIT_FRACTION - MINIMUM_WAIT_FRACTION) -
         excess * (MINIMUM_WAIT_FRACTION - EXCESS_WAIT_FRACTION)
     val timeLeftMs = (objectiveMs - elapsedMs).toDouble()
-    val waitLimitMs = maxOf(timeLeftMs * waitFraction, objectiveMs * LATE_WAIT_FRACTION)
+    val lateFraction =
+        MAXIMUM_LATE_WAIT_FRACTION - reduction * (MAXIMUM_LATE_WAIT_FRACTION - MINIMUM_LATE_WAIT_FRACTION)
+    val waitLimitMs = maxOf(timeLeftMs * waitFraction, objectiveMs * lateFraction)
     val missWeight = (fairShareRatio - MISS_WEIGHT_START_RATIO) / (MISS_WEIGHT_END_RATIO - MISS_WEIGHT_START_RATIO)
     return AdmissionLimits(
         waitLimitMs,
