Tell callers of a lasting overload to come back as much later as it has lasted

What callers saw: refused unread with Retry-After 0.1 s, again and again.

Cause: the constant told callers to come back within their objective, as after a pause. A flood that has lasted for seconds refuses them again. What is known of an overload is how long it has lasted; it is expected to last as long again. The fleet's rates, which all routers have, tell for how long most of what a workspace requests has been refused, so a router that a flood has just reached knows it as well.

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/FairShareTracker.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/FairShareTracker.kt
@@ -88,6 +88,9 @@
     private var fairShare = Double.POSITIVE_INFINITY
     private var updatedMs = Long.MIN_VALUE / 2
 
+    /** For how long most requests of each workspace have been refused, as of the last [view]. */
+    public val refusedSpans: RefusedSpans = RefusedSpans()
+
     /** Records that [workspace] requested [tokens]. */
     public fun onRequested(workspace: WorkspaceId, tokens: Long, nowMs: Long) {
         val counter = counter(workspace)
@@ -172,6 +175,7 @@
         }
         fleetRates = sums
         fairShare = maxMinFairShare(sums.values)
+        refusedSpans.update(sums, nowMs)
         updatedMs = nowMs
     }
 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallHandler.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallHandler.kt
@@ -4,6 +4,7 @@
 import corneltrack.policy.placement.FairShareTracker
 import corneltrack.policy.placement.LoadShedding
 import corneltrack.policy.placement.SheddingDecision
+import corneltrack.policy.placement.overloadRetryMs
 import corneltrack.router.callers.CallerRequest
 import corneltrack.router.callers.CallerResponse
 import corneltrack.router.callers.Refusal
@@ -15,8 +16,9 @@
 
 private const val SHUTDOWN_RETRY_MS = 50L
 
-/** Within the objectives of most routes; the router reads the requests of some callers all the while. */
-private const val OVERLOADED_RETRY_MS = 100L
+/** The difference between two Retry-After values of an overload, in ms; few enough to keep their responses. */
+private const val OVERLOADED_RETRY_STEP_MS = 100L
+private const val OVERLOADED_RETRY_STEPS = 40
 
 /** Within the objectives of most routes, so that a retry can still be served in time. */
 private const val ABOVE_SHARE_RETRY_MS = 300L
@@ -57,8 +59,10 @@
 
     private fun admit(metadata: CallerMetadata): CallAdmission {
         if (closed) return CallAdmission.Refused(SHUTTING_DOWN)
-        return when (shedding.decide(keyHolder(metadata), metadata.cost, context.nowMs())) {
-            SheddingDecision.OVERLOADED -> CallAdmission.Refused(OVERLOADED)
+        val nowMs = context.nowMs()
+        val workspace = keyHolder(metadata)
+        return when (shedding.decide(workspace, metadata.cost, nowMs)) {
+            SheddingDecision.OVERLOADED -> CallAdmission.Refused(overloaded(workspace, nowMs))
             SheddingDecision.ABOVE_FAIR_SHARE -> CallAdmission.Refused(ABOVE_FAIR_SHARE)
             SheddingDecision.ADMIT -> {
                 val random = ThreadLocalRandom.current().nextDouble()
@@ -67,6 +71,13 @@
         }
     }
 
+    private fun overloaded(workspace: WorkspaceId?, nowMs: Long): Refusal {
+        shares.view(nowMs)
+        val refusedForMs = workspace?.let { shares.refusedSpans.spanMs(it, nowMs) } ?: 0
+        val retryMs = overloadRetryMs(refusedForMs, ThreadLocalRandom.current().nextDouble())
+        return OVERLOADED[(retryMs / OVERLOADED_RETRY_STEP_MS).toInt().coerceIn(1, OVERLOADED_RETRY_STEPS) - 1]
+    }
+
     private fun keyHolder(metadata: CallerMetadata): WorkspaceId? =
         metadata.apiKey?.let { routingState.table?.workspaceForKey(it) }?.id
 
@@ -156,12 +167,16 @@
     "This router is shutting down.",
     retryAfterMs = SHUTDOWN_RETRY_MS,
 )
-private val OVERLOADED = Refusal(
-    HttpResponseStatus.SERVICE_UNAVAILABLE,
-    "router_overloaded",
-    "This router cannot keep up with its callers.",
-    retryAfterMs = OVERLOADED_RETRY_MS,
-)
+
+/** The refusals of an overloaded router, in the order of their Retry-After. */
+private val OVERLOADED = List(OVERLOADED_RETRY_STEPS) { index ->
+    Refusal(
+        HttpResponseStatus.SERVICE_UNAVAILABLE,
+        "router_overloaded",
+        "This router cannot keep up with its callers.",
+        retryAfterMs = (index + 1) * OVERLOADED_RETRY_STEP_MS,
+    )
+}
 private val ABOVE_FAIR_SHARE = Refusal(
     HttpResponseStatus.SERVICE_UNAVAILABLE,
     "above_fair_share",
