--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/DigestSender.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/DigestSender.kt
@@ -5,6 +5,7 @@
 import corneltrack.wire.HostAndPort
 import corneltrack.wire.wireProtobuf
 import corneltrack.world.InstanceId
+import corneltrack.world.WorkspaceId
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.socket.DatagramPacket
@@ -26,18 +27,22 @@
 
     /** Sends the load of this router to those [recipients] that are due; once to other regions while it is idle. */
     fun sendDueLoads(recipients: Recipients, nowMs: Long) {
-        val idle = load.shares.ownRates(nowMs).isEmpty() &&
-            load.states.all().values.none { it.engine.ownLoad.running > 0 }
-        sendLoad(recipients.inRegion, nowMs)
-        if (!idle || !idleDigestSent) sendLoad(recipients.crossRegion, nowMs)
+        val rates = load.shares.ownRates(nowMs)
+        val idle = rates.isEmpty() && load.states.all().values.none { it.engine.ownLoad.running > 0 }
+        sendLoad(recipients.inRegion, nowMs, rates)
+        if (!idle || !idleDigestSent) sendLoad(recipients.crossRegion, nowMs, rates)
         idleDigestSent = idle
     }
 
-    /** Sends the load of this router to [group]. */
-    fun sendLoad(group: RecipientGroup, nowMs: Long) {
+    /** Sends the load of this router, with the [rates] of its workspaces, to [group]. */
+    fun sendLoad(
+        group: RecipientGroup,
+        nowMs: Long,
+        rates: Map<WorkspaceId, WorkspaceRate> = load.shares.ownRates(nowMs),
+    ) {
         if (group.peers.isEmpty()) return
         val endpoints = load.states.digests(group, nowMs)
-        val workspaces = load.shares.ownRates(nowMs).map { (id, rate) -> id.value to rate.toDigest() }.toMap()
+        val workspaces = rates.map { (id, rate) -> id.value to rate.toDigest() }.toMap()
         send(PeerDigest(id.value, endpoints, workspaces, router = shared.routerLoad()), group.peers)
     }
 
