--- a/corneltrack-policy/src/test/kotlin/corneltrack/policy/placement/FloodedRouterModel.kt
+++ b/corneltrack-policy/src/test/kotlin/corneltrack/policy/placement/FloodedRouterModel.kt
@@ -8,7 +8,7 @@
 private const val LAG_PERIOD_MS = 100.0
 private const val DIGEST_PERIOD_MS = 200.0
 private const val MS_PER_SECOND = 1_000
-private const val READS_PER_ITERATION = 256
+private const val READS_PER_ITERATION = 1_024
 private const val PROMPT_TOKENS = 6_000L
 
 /** The part of the prompts for which an engine is looked for that get one. */
