Return to the rotation after one second without lag

Cause: a router returned after 2.5 s without lag, so that of the routers that had the flood before one or two idled. The load balancer needs up to a second to notice a return by itself.

What keeps a data centre from emptying and routers from returning together stands as it was (OverloadRotationFleetTest).

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/limits/OverloadRotation.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/limits/OverloadRotation.kt
@@ -9,8 +9,11 @@
 /** How long a router that has only paused is out, in ms; load balancers do not act on one failed check. */
 private const val RETURN_AFTER_PAUSE_MS = 500L
 
-/** How long a router has not been late when it returns, in ms; callers of a flood come back after about a second. */
-private const val RETURN_AFTER_MS = 2_500L
+/**
+ * How long a router has not been late when it returns, in ms. Beyond the time that the load balancer needs to notice a
+ * return, a longer wait leaves idle what could serve a part of the flood.
+ */
+private const val RETURN_AFTER_MS = 1_000L
 
 /** The longest addition to [RETURN_AFTER_MS], in ms, so that routers do not return at the same time. */
 private const val RETURN_SPREAD_MS = 500L
