--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/WarmUp.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/WarmUp.kt
@@ -24,8 +24,9 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpVersion
+import io.netty.util.concurrent.ScheduledFuture
+import org.apache.logging.log4j.Level
 import org.apache.logging.log4j.LogManager
-import java.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
 
 /** Beyond the calls after which the JVM compiles a method. */
@@ -39,7 +40,7 @@
 
 /** A router with this lag, in ms, has real requests to serve. */
 private const val BUSY_LAG_MS = 20L
-private const val OBJECTIVE_MS = 1_000L
+private const val IDLE_TIMEOUT_MS = 1_000L
 private val WORKSPACE = WorkspaceId("warm-up")
 private val REFUSAL = Refusal(HttpResponseStatus.SERVICE_UNAVAILABLE, "warm_up", "No caller gets this.")
 private val logger = LogManager.getLogger("corneltrack.router.relay.WarmUp")
@@ -72,9 +73,15 @@
 
     /** Starts to run requests on [loop], once the routing table and the endpoints are known. */
     fun start(loop: EventLoop) {
-        slices = loop.scheduleWithFixedDelay(::runSlice, SLICE_INTERVAL_MS, SLICE_INTERVAL_MS, TimeUnit.MILLISECONDS)
+        val scheduled =
+            loop.scheduleWithFixedDelay(::runSlice, SLICE_INTERVAL_MS, SLICE_INTERVAL_MS, TimeUnit.MILLISECONDS)
+        scheduled.addListener { if (it.cause() != null && !it.isCancelled) onFailed(it.cause()) }
+        slices = scheduled
     }
 
+    /** A router that is not warm serves all the same. */
+    private fun onFailed(cause: Throwable) = logger.event("warm_up_failed", Level.ERROR) { field("reason", cause) }
+
     private fun runSlice() {
         val startMs = clock().monotonicMs
         val table = routingState.table
@@ -88,7 +95,7 @@
     }
 
     private fun runConnection(route: Route?) {
-        val limits = ConnectionLimits(bodyBytes = BODY_BYTES, idleTimeoutMs = OBJECTIVE_MS)
+        val limits = ConnectionLimits(bodyBytes = BODY_BYTES, idleTimeoutMs = IDLE_TIMEOUT_MS)
         val connection = CallerConnection(limits, connections) { request, _, sink ->
             respond(request, route, sink)
             ({})
