--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/WarmUp.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/WarmUp.kt
@@ -14,6 +14,7 @@
 import corneltrack.world.WorkspaceId
 import corneltrack.world.routing.Route
 import corneltrack.world.routing.RoutedPool
+import corneltrack.world.routing.RoutingTable
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
@@ -86,18 +87,18 @@
         val startMs = clock().monotonicMs
         val table = routingState.table
         if (table == null || !routingState.endpointsLoaded || eventLoopLag.lagMs(startMs) > BUSY_LAG_MS) return
-        val route = table.routes.firstOrNull { it.enginePool() != null }
-        while (done < REQUESTS && clock().monotonicMs - startMs < SLICE_MS) runConnection(route)
+        val model = table.modelRoute()
+        while (done < REQUESTS && clock().monotonicMs - startMs < SLICE_MS) runConnection(model)
         if (done < REQUESTS) return
         slices?.cancel(false)
         logger.event("warmed_up") { field("requests", done) }
         onDone(done)
     }
 
-    private fun runConnection(route: Route?) {
+    private fun runConnection(model: ModelRoute?) {
         val limits = ConnectionLimits(bodyBytes = BODY_BYTES, idleTimeoutMs = IDLE_TIMEOUT_MS)
         val connection = CallerConnection(limits, connections) { request, _, sink ->
-            respond(request, route, sink)
+            respond(request, model, sink)
             ({})
         }
         val channel = EmbeddedChannel(CallerHandlers(connection))
@@ -110,13 +111,12 @@
         channel.finishAndReleaseAll()
     }
 
-    private fun respond(request: CallerRequest, route: Route?, sink: ResponseSink) {
+    private fun respond(request: CallerRequest, model: ModelRoute?, sink: ResponseSink) {
         val nowMs = clock().monotonicMs
         val metadata = headerMapping.readRequest(request.head)
         shedding.decide(WORKSPACE, metadata.cost, nowMs)
-        val pool = route?.enginePool()
-        if (pool == null || done % 2 == 0) return sink.refuse(REFUSAL)
-        val call = call(request, metadata, route, pool, sink)
+        if (model == null || done % 2 == 0) return sink.refuse(REFUSAL)
+        val call = call(request, metadata, model, sink, nowMs)
         chooser.choose(call, nowMs)
         stream(call)
     }
@@ -124,21 +124,21 @@
     private fun call(
         request: CallerRequest,
         metadata: CallerMetadata,
-        route: Route,
-        pool: RoutedPool,
+        model: ModelRoute,
         sink: ResponseSink,
+        nowMs: Long,
     ): RelayedCall {
-        val nowMs = clock().monotonicMs
         val head = request.head
+        val deadlineMs = nowMs + model.route.timeoutMs
         return RelayedCall(
             id = WORKSPACE.value,
             requestId = null,
             workspace = WORKSPACE,
-            route = route,
-            pool = pool,
+            route = model.route,
+            pool = model.pool,
             regions = emptySet(),
             generation = metadata.readGeneration(),
-            times = CallTimes(nowMs, nowMs + route.timeoutMs, nowMs + route.timeoutMs, 0),
+            times = CallTimes(nowMs, deadlineMs, deadlineMs, earlierWaitMs = 0),
             message = CallerMessage(head.method(), head.uri(), head.headers(), request.body),
             sink = sink,
         )
@@ -158,10 +158,15 @@
             "${HttpHeaderNames.CONTENT_LENGTH}: ${body.size}\r\n\r\n"
         return Unpooled.wrappedBuffer(head.toByteArray(), body)
     }
+}
+
+/** A route and the pool of model engines that serves it. */
+private class ModelRoute(val route: Route, val pool: RoutedPool)
 
-    private fun Route.enginePool(): RoutedPool? {
-        val engines = routingState.table?.pools.orEmpty().filterValues { it.engine != null }
-        return pools.firstNotNullOfOrNull { engines[it.pool] }
+private fun RoutingTable.modelRoute(): ModelRoute? {
+    val engines = pools.filterValues { it.engine != null }
+    return routes.firstNotNullOfOrNull { route ->
+        route.pools.firstNotNullOfOrNull { engines[it.pool] }?.let { ModelRoute(route, it) }
     }
 }
 
