Read the refused spans from the view of the fair share, and state the bounds of Retry-After once

The spans were a property that was right only after a call of view(), made for its effect. The view carries them now. The refusals of an overload were a list whose length and bounds repeated those of overloadRetryMs; they are kept by their Retry-After now. The comment on the sockets of callers told of a fraction that is no longer so. Behaviour is the same.

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/FairShareTracker.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/FairShareTracker.kt
@@ -47,8 +47,13 @@
  *
  * @property tokensPerSecond the level up to which each workspace is served; infinite if the fleet is not contended.
  * @property reportingPeers how many peers' rates are part of it.
+ * @property refusedSpans for how long most requests of each workspace have been refused.
  */
-public data class FairShareView(val tokensPerSecond: Double, val reportingPeers: Int) {
+public data class FairShareView(
+    val tokensPerSecond: Double,
+    val reportingPeers: Int,
+    val refusedSpans: RefusedSpans,
+) {
     /**
      * Whether engines refuse some of what is attempted. Only then does a low fair-share ratio mean that a workspace
      * gets too little rather than that it requests little.
@@ -87,9 +92,7 @@
     private var fleetRates: Map<WorkspaceId, WorkspaceRate> = emptyMap()
     private var fairShare = Double.POSITIVE_INFINITY
     private var updatedMs = Long.MIN_VALUE / 2
-
-    /** For how long most requests of each workspace have been refused, as of the last [view]. */
-    public val refusedSpans: RefusedSpans = RefusedSpans()
+    private val refusedSpans = RefusedSpans()
 
     /** Records that [workspace] requested [tokens]. */
     public fun onRequested(workspace: WorkspaceId, tokens: Long, nowMs: Long) {
@@ -117,7 +120,7 @@
     /** Returns the fair share as known now. */
     public fun view(nowMs: Long): FairShareView {
         if (nowMs - updatedMs >= UPDATE_INTERVAL_MS) updateFairShare(nowMs)
-        return FairShareView(fairShare, peers.size)
+        return FairShareView(fairShare, peers.size, refusedSpans)
     }
 
     /**
--- a/corneltrack-policy/src/test/kotlin/corneltrack/policy/placement/RefusedSpansTest.kt
+++ b/corneltrack-policy/src/test/kotlin/corneltrack/policy/placement/RefusedSpansTest.kt
@@ -58,7 +58,7 @@
         assertEquals(4_000, overloadRetryMs(refusedForMs = 60_000, random = 0.0))
     }
 
-    private fun span(workspace: WorkspaceId) = tracker.refusedSpans.spanMs(workspace, nowMs)
+    private fun span(workspace: WorkspaceId) = tracker.view(nowMs).refusedSpans.spanMs(workspace, nowMs)
 
     /** Requests ten prompts of [workspace], of which the given number is granted. */
     private fun request(workspace: WorkspaceId, granted: Int) = repeat(10) { index ->
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallHandler.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallHandler.kt
@@ -18,7 +18,6 @@
 
 /** The difference between two Retry-After values of an overload, in ms; few enough to keep their responses. */
 private const val OVERLOADED_RETRY_STEP_MS = 100L
-private const val OVERLOADED_RETRY_STEPS = 40
 
 /** Within the objectives of most routes, so that a retry can still be served in time. */
 private const val ABOVE_SHARE_RETRY_MS = 300L
@@ -44,6 +43,9 @@
     private val longestTimeLeftMs = HashMap<String, Long>()
     private val shedding = LoadShedding(eventLoopLag, shares)
 
+    /** The refusals of an overloaded router, by their Retry-After in steps of [OVERLOADED_RETRY_STEP_MS]. */
+    private val overloadRefusals = HashMap<Long, Refusal>()
+
     /** Whether new requests are refused because the process is about to end. Set by the thread that drains. */
     @Volatile
     var closed: Boolean = false
@@ -72,10 +74,11 @@
     }
 
     private fun overloaded(workspace: WorkspaceId?, nowMs: Long): Refusal {
-        shares.view(nowMs)
-        val refusedForMs = workspace?.let { shares.refusedSpans.spanMs(it, nowMs) } ?: 0
+        val refusedForMs = workspace?.let { shares.view(nowMs).refusedSpans.spanMs(it, nowMs) } ?: 0
         val retryMs = overloadRetryMs(refusedForMs, ThreadLocalRandom.current().nextDouble())
-        return OVERLOADED[(retryMs / OVERLOADED_RETRY_STEP_MS).toInt().coerceIn(1, OVERLOADED_RETRY_STEPS) - 1]
+        return overloadRefusals.getOrPut(retryMs / OVERLOADED_RETRY_STEP_MS) {
+            OVERLOADED.copy(retryAfterMs = retryMs - retryMs % OVERLOADED_RETRY_STEP_MS)
+        }
     }
 
     private fun keyHolder(metadata: CallerMetadata): WorkspaceId? =
@@ -167,16 +170,11 @@
     "This router is shutting down.",
     retryAfterMs = SHUTDOWN_RETRY_MS,
 )
-
-/** The refusals of an overloaded router, in the order of their Retry-After. */
-private val OVERLOADED = List(OVERLOADED_RETRY_STEPS) { index ->
-    Refusal(
-        HttpResponseStatus.SERVICE_UNAVAILABLE,
-        "router_overloaded",
-        "This router cannot keep up with its callers.",
-        retryAfterMs = (index + 1) * OVERLOADED_RETRY_STEP_MS,
-    )
-}
+private val OVERLOADED = Refusal(
+    HttpResponseStatus.SERVICE_UNAVAILABLE,
+    "router_overloaded",
+    "This router cannot keep up with its callers.",
+)
 private val ABOVE_FAIR_SHARE = Refusal(
     HttpResponseStatus.SERVICE_UNAVAILABLE,
     "above_fair_share",
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelaySettings.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelaySettings.kt
@@ -5,7 +5,7 @@
 import corneltrack.world.InstanceId
 import corneltrack.world.RegionId
 
-/** Leaves as many sockets again for the requests on these connections, each of which needs one to an endpoint. */
+/** Connections stay open up to four fifths of it; each request on them needs a socket to an endpoint besides. */
 private const val CALLER_SOCKET_FRACTION = 0.55
 private const val IDLE_SOCKET_FRACTION = 0.15
 
