Report a connection that is lost while a request is being sent, so that its answer does not look complete

Cause: an answer without a length ends with its connection, and the HTTP codec ends the message when the channel becomes inactive, whatever closed it. A failed read is reported as an exception first. A failed write, which meets a reset while a part of the request still waits, closes the channel without one, and the result of writeAndFlush was not read.

Why this works: UncleanCloseDetector stands before the codec, for the relay and for the product's own interface, and reports a connection as lost unless its end of stream was read or the router closed it. Both senders also look at the result of the write. On the same path: interim responses other than 100 were delivered as final ones, and connections that had ended were kept as idle.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/Attempt.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/Attempt.kt
@@ -118,7 +118,9 @@
     private fun send(connected: Channel, message: DefaultFullHttpRequest) {
         channel = connected
         connected.pipeline().addLast(ResponseRelay())
-        connected.writeAndFlush(message)
+        connected.writeAndFlush(message).addListener { written ->
+            if (!written.isSuccess && connected === channel) onBroken("sending failed: ${written.cause().message}")
+        }
         val resuming = stream?.resuming == true
         idleTimeout.start(connected, if (resuming) RESUME_TIMEOUT_MS else request.pool.silenceLimitMs)
     }
@@ -245,7 +247,8 @@
         private fun onLast(context: ChannelHandlerContext) {
             channel = null
             context.pipeline().remove(this)
-            if (keepAlive) connections.release(context.channel(), endpoint, clock()) else context.close()
+            val reusable = keepAlive && context.channel().isActive
+            if (reusable) connections.release(context.channel(), endpoint, clock()) else context.close()
             val refusal = refusedStatus
             if (refusal == null) {
                 request.sink.end()
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/EndpointConnections.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/EndpointConnections.kt
@@ -76,11 +76,13 @@
             .channel(NioSocketChannel::class.java)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .attr(OPENED_AT, nowMs)
             .handler(object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel) {
                     channel.pipeline().addLast(
                         ByteCountingHandler { sent, received -> traffic(endpoint, sent, received) },
+                        UncleanCloseDetector(),
                         HttpClientCodec(),
                     )
                 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointExchange.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointExchange.kt
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
@@ -109,7 +110,9 @@
             return
         }
         connected.pipeline().addLast(ResponseHandler())
-        connected.writeAndFlush(message)
+        connected.writeAndFlush(message).addListener { written ->
+            if (!written.isSuccess) fail("sending failed: ${written.cause().message}")
+        }
     }
 
     private fun fail(reason: String) {
@@ -143,7 +146,8 @@
 
         private fun onHead(head: HttpResponse) {
             if (head.decoderResult().isFailure) return fail("unreadable answer")
-            if (head.status().code() == HttpResponseStatus.CONTINUE.code()) return onInterimResponse()
+            if (head.status() == HttpResponseStatus.SWITCHING_PROTOCOLS) return fail("unrequested change of protocol")
+            if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) return onInterimResponse()
             val metadata = headerMapping.readResponse(head)
             stray = metadata.requestId != null && requestId != null && metadata.requestId != requestId
             if (stray) onStrayResponse() else onMatchingHead(head, metadata)
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayFixture.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayFixture.kt
@@ -43,7 +43,11 @@
 private const val SOCKET_TIMEOUT_MS = 10_000
 
 /** Runs a router in this process with scripted endpoints and an in-memory store. */
-internal class RelayFixture(bounds: RelayBounds = RelayBounds(), private val timeoutMs: Long = 5_000) : AutoCloseable {
+internal class RelayFixture(
+    bounds: RelayBounds = RelayBounds(),
+    private val timeoutMs: Long = 5_000,
+    private val maximumBodyBytes: Int = 1_000_000,
+) : AutoCloseable {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val operator = FakeTopic(group.next())
     private val endpoints = FakeTopic(group.next())
@@ -74,14 +78,15 @@
     )
     val router = RelayRouter(settings, group, source, testHeaderMapping)
 
-    /** Starts an endpoint that responds with [script], and lists it in the store. */
+    /** Starts an endpoint that responds with [script], [early] without reading the body, and lists it in the store. */
     fun endpoint(
         name: String,
         pool: String = "engines",
         dataCentre: String = "here",
+        early: Boolean = false,
         script: (ReceivedRequest, Socket) -> Unit,
     ): ScriptedEndpoint {
-        val added = ScriptedEndpoint(script)
+        val added = ScriptedEndpoint(early, script)
         scriptedEndpoints += added
         listEndpoint(name, added.address, pool, dataCentre)
         return added
@@ -201,7 +206,7 @@
                 ExecutionSemantics.IDEMPOTENT,
             ).copy(public = false),
         )
-        val limits = CallerLimits(16_384, 1_000_000, 3_000, 15_000)
+        val limits = CallerLimits(16_384, maximumBodyBytes, 3_000, 15_000)
         return RoutingTable(version, routes, listOf(engines, services).associateBy { it.id }, workspaces, limits, 0.0)
     }
 
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/ScriptedEndpoint.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/ScriptedEndpoint.kt
@@ -15,9 +15,17 @@
     val id: String? get() = headers["request"]
 }
 
-/** Responds to requests with the raw bytes that [script] writes; uses one thread for each connection. */
+/** Small, so that most of a long request waits at the router until it is read. */
+private const val EARLY_RECEIVE_BUFFER_BYTES = 4_096
+
+/**
+ * Responds to requests with the raw bytes that [script] writes; uses one thread for each connection.
+ *
+ * @param early whether it responds before it has read the body of a request.
+ */
 internal class ScriptedEndpoint(
-    private val script: (request: ReceivedRequest, connection: Socket) -> Unit
+    private val early: Boolean = false,
+    private val script: (request: ReceivedRequest, connection: Socket) -> Unit,
 ) : AutoCloseable {
     private val server = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
     private val connections = CopyOnWriteArrayList<Socket>()
@@ -30,6 +38,7 @@
     val address: String get() = "127.0.0.1:${server.localPort}"
 
     init {
+        if (early) server.receiveBufferSize = EARLY_RECEIVE_BUFFER_BYTES
         thread(isDaemon = true) {
             try {
                 while (true) serve(server.accept())
@@ -49,7 +58,7 @@
         thread(isDaemon = true) {
             try {
                 while (true) {
-                    val request = connection.getInputStream().readRequest() ?: break
+                    val request = connection.getInputStream().readRequest(withBody = !early) ?: break
                     requests += request
                     script(request, connection)
                 }
@@ -86,11 +95,11 @@
 
 internal const val LAST_CHUNK: String = "0\r\n\r\n"
 
-private fun InputStream.readRequest(): ReceivedRequest? {
+private fun InputStream.readRequest(withBody: Boolean): ReceivedRequest? {
     val lines = generateSequence { readHeadLine() }.takeWhile { it.isNotEmpty() }.toList()
     if (lines.isEmpty()) return null
     val headers = lines.drop(1).associate { it.substringBefore(':').lowercase() to it.substringAfter(':').trim() }
-    val body = readNBytes(headers["content-length"]?.toInt() ?: 0)
+    val body = if (withBody) readNBytes(headers["content-length"]?.toInt() ?: 0) else ByteArray(0)
     return ReceivedRequest(lines.first(), headers, body)
 }
 
