Compute fingerprints of requests only while one is quarantined

What callers saw: after the first connection that was lost under a request, each later request was hashed on the event loop, for good: 65 ms for a body of 4 MiB.

Cause: the check asked whether there had ever been a suspicion, which expires only when another one is recorded; a request is refused only once it has two. It now asks whether a quarantine may be in force.

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/Quarantine.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/Quarantine.kt
@@ -29,14 +29,23 @@
 public class Quarantine(private val retentionMs: Long) {
     private val suspicions = HashMap<String, MutableMap<EndpointId, Suspicion>>()
 
-    /** Whether there are no suspicions. */
-    public val isEmpty: Boolean get() = suspicions.isEmpty()
+    /** When the last quarantine ends at the latest. */
+    private var lastQuarantineEndMs = Long.MIN_VALUE
+
+    /**
+     * Returns whether any fingerprint may be quarantined. If not, requests need no fingerprint, which costs a hash of
+     * the whole body.
+     */
+    public fun mayHoldAny(nowMs: Long): Boolean = nowMs < lastQuarantineEndMs
 
     /** Records a suspicion of any router. Returns whether its fingerprint is quarantined now. */
     public fun onSuspicion(suspicion: Suspicion, nowMs: Long): Boolean {
         expire(nowMs)
-        suspicions.getOrPut(suspicion.fingerprint) { HashMap() }[suspicion.endpoint] = suspicion
-        return isQuarantined(suspicion.fingerprint, nowMs)
+        val byEndpoint = suspicions.getOrPut(suspicion.fingerprint) { HashMap() }
+        byEndpoint[suspicion.endpoint] = suspicion
+        val quarantined = isQuarantined(suspicion.fingerprint, nowMs)
+        if (quarantined) lastQuarantineEndMs = maxOf(lastQuarantineEndMs, byEndpoint.values.maxOf { it.atMs } + retentionMs)
+        return quarantined
     }
 
     /** Returns whether requests with [fingerprint] are quarantined and must not run. */
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CrashSuspects.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CrashSuspects.kt
@@ -37,9 +37,11 @@
     /** Records a suspicion received from a peer. */
     fun onPeerSuspicion(suspicion: Suspicion): Unit = record(suspicion, wallClockMs())
 
-    /** Whether [call] is quarantined. The fingerprint is computed only if there are suspicions. */
-    fun isQuarantined(call: RelayedCall): Boolean =
-        !quarantine.isEmpty && quarantine.isQuarantined(call.fingerprint, wallClockMs())
+    /** Whether [call] is quarantined. The fingerprint is computed only while any request may be. */
+    fun isQuarantined(call: RelayedCall): Boolean {
+        val nowMs = wallClockMs()
+        return quarantine.mayHoldAny(nowMs) && quarantine.isQuarantined(call.fingerprint, nowMs)
+    }
 
     private fun record(suspicion: Suspicion, nowMs: Long) {
         if (quarantine.onSuspicion(suspicion, nowMs)) {
