Send nothing more to an endpoint that says in a response that it leaves

Cause: the header is read nowhere; an endpoint was left out by its entry in the store alone.

Why this works: the statement is decoded once in the adapter and believed, whatever the store says, until a later incarnation of the endpoint takes its place. EligibleEndpoints leaves it out as if the store had said so, its idle connections are closed, peers are told. A 421 comes from another server at the address: what it states is no longer taken for the endpoint's, its limit included.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/DigestSender.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/DigestSender.kt
@@ -4,6 +4,7 @@
 import corneltrack.policy.placement.WorkspaceRate
 import corneltrack.wire.HostAndPort
 import corneltrack.wire.wireProtobuf
+import corneltrack.world.EndpointId
 import corneltrack.world.InstanceId
 import corneltrack.world.WorkspaceId
 import io.netty.buffer.Unpooled
@@ -14,8 +15,10 @@
 /** How many digests to one peer report the same cached prefix; makes up for lost datagrams. */
 private const val PREFIX_REPORT_COPIES = 2
 
-/** How long an observed limit of an endpoint is told to peers, in ms; longer than digests take to reach all of them. */
-private const val LIMIT_REPORT_MS = 3_000L
+/**
+ * How long what an endpoint stated about itself is told to peers, in ms; longer than digests take to reach all of them.
+ */
+private const val STATEMENT_REPORT_MS = 3_000L
 
 /** Sends the digests of router [id] to its peers. Only used on the event loop. */
 internal class DigestSender(private val id: InstanceId, private val shared: SharedState) {
@@ -28,7 +31,9 @@
     /** Sends the load of this router to those [recipients] that are due; once to other regions while it is idle. */
     fun sendDueLoads(recipients: Recipients, nowMs: Long) {
         val rates = load.shares.ownRates(nowMs)
-        val idle = rates.isEmpty() && load.states.all().values.none { it.engine.ownLoad.running > 0 }
+        val idle = rates.isEmpty() && load.states.all().none { (id, state) ->
+            state.engine.ownLoad.running > 0 || load.states.hasRecentStatement(id, state, nowMs)
+        }
         sendLoad(recipients.inRegion, nowMs, rates)
         if (!idle || !idleDigestSent) sendLoad(recipients.crossRegion, nowMs, rates)
         idleDigestSent = idle
@@ -58,22 +63,29 @@
     }
 }
 
+/** Whether the endpoint has lately stated something about itself that peers should know. */
+private fun EndpointStates.hasRecentStatement(id: EndpointId, state: EndpointState, nowMs: Long): Boolean =
+    state.limit.recentObservation(nowMs, STATEMENT_REPORT_MS) != null ||
+        leaving.recentResponseAgeMs(id, state.startedAtMs, nowMs, STATEMENT_REPORT_MS) != null
+
 /** Returns the load on each endpoint in use and the prefixes cached since the last digests to [group], by ID. */
 private fun EndpointStates.digests(group: RecipientGroup, nowMs: Long): Map<String, EndpointDigest> {
     val sinceMs = nowMs - PREFIX_REPORT_COPIES * group.cycle * DIGEST_PERIOD_MS
     return buildMap {
         all().forEach { (id, state) ->
             val prefixes = state.prefixReports.since(sinceMs)
-            val limit = state.limit.recentObservation(nowMs, LIMIT_REPORT_MS)?.toDigest(nowMs)
-            val inUse = state.engine.ownLoad.running > 0 || prefixes.isNotEmpty() || limit != null
-            if (inUse) put(id.value, state.toDigest(prefixes, limit))
+            val limit = state.limit.recentObservation(nowMs, STATEMENT_REPORT_MS)?.toDigest(nowMs)
+            val leavingAgeMs = leaving.recentResponseAgeMs(id, state.startedAtMs, nowMs, STATEMENT_REPORT_MS)
+            val running = state.engine.ownLoad.running > 0
+            val inUse = running || prefixes.isNotEmpty() || limit != null || leavingAgeMs != null
+            if (inUse) put(id.value, state.toDigest(prefixes).copy(limit = limit, leavingAgeMs = leavingAgeMs))
         }
     }
 }
 
 private fun WorkspaceRate.toDigest() = WorkspaceDigest(requested.toLong(), granted.toLong(), attempted.toLong())
 
-private fun EndpointState.toDigest(cachedPrefixes: List<Long>, limit: LimitDigest?): EndpointDigest {
+private fun EndpointState.toDigest(cachedPrefixes: List<Long>): EndpointDigest {
     val load = engine.ownLoad
     return EndpointDigest(
         load.pendingPrefillTokens,
@@ -81,7 +93,6 @@
         load.kvCacheTokens,
         startedAtMs,
         cachedPrefixes,
-        limit,
     )
 }
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EligibleEndpoints.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EligibleEndpoints.kt
@@ -13,7 +13,7 @@
 
 /** Describes why an endpoint may not serve an attempt. */
 internal enum class Ineligibility {
-    /** The endpoint no longer accepts requests. */
+    /** The endpoint no longer accepts requests, as the store says or one of its responses said. */
     LEAVING,
 
     /** An earlier attempt of the request failed there. */
@@ -93,7 +93,7 @@
     private fun exclusion(call: RelayedCall, known: KnownEndpoint, position: FleetPosition?): Ineligibility? {
         val endpoint = known.entry.endpoint
         return when {
-            !known.entry.live -> Ineligibility.LEAVING
+            !known.entry.live || states.isLeaving(known) -> Ineligibility.LEAVING
             endpoint.id in call.triedEndpoints -> Ineligibility.TRIED
             endpoint.dataCentre in routingState.evacuated -> Ineligibility.EVACUATED
             call.regions.isNotEmpty() && settings.regions[endpoint.dataCentre] !in call.regions ->
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointAttempt.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointAttempt.kt
@@ -135,7 +135,9 @@
         private var discardedBytes = 0
 
         override fun onConnected(reused: Boolean): DefaultFullHttpRequest? {
-            if (call.finished) return null
+            val leaving = context.isLeaving(target)
+            if (leaving && !call.finished) fail(null, RelayAttemptResult.NotSent("the endpoint leaves"))
+            if (leaving || call.finished) return null
             this@EndpointAttempt.reused = reused
             sent = true
             timing.onSent(context.nowMs())
@@ -154,8 +156,9 @@
                 code in FIRST_SUCCESS until FIRST_REDIRECT && call.route.responseMode == ResponseMode.EVENT_STREAM
             status = code
             metadata.activeRequests?.let { target.state.service.onReport(it, context.nowMs()) }
-            if (metadata.authentic || metadata.notRun) context.onStatedLimit(target, metadata.limit)
-            notRun = metadata.notRun || code == HttpResponseStatus.MISDIRECTED_REQUEST.code()
+            val misdirected = code == HttpResponseStatus.MISDIRECTED_REQUEST.code()
+            if (!misdirected && (metadata.authentic || metadata.notRun)) context.onStatement(target, metadata)
+            notRun = metadata.notRun || misdirected
             when {
                 notRun -> Unit
                 !metadata.authentic -> onBroken("unsigned answer with status $code")
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointExchange.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointExchange.kt
@@ -154,7 +154,7 @@
 
         private fun onMatchingHead(head: HttpResponse, metadata: ResponseMetadata) {
             headSeen = true
-            keepAlive = HttpUtil.isKeepAlive(head)
+            keepAlive = HttpUtil.isKeepAlive(head) && !metadata.leaving
             if (head.headers().contains(HttpHeaderNames.CONTENT_ENCODING)) {
                 fail("unrequested content encoding")
             } else {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointState.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointState.kt
@@ -1,6 +1,7 @@
 package corneltrack.router.relay
 
 import corneltrack.policy.discovery.KnownEndpoint
+import corneltrack.policy.discovery.LeavingEndpoints
 import corneltrack.policy.limits.EndpointHealth
 import corneltrack.policy.limits.EndpointLimitState
 import corneltrack.policy.limits.IntervalStarts
@@ -50,8 +51,12 @@
     val transfers: TransferSuccess = TransferSuccess(),
 )
 
-/** Keeps the state of each known endpoint. */
-internal class EndpointStates {
+/**
+ * Keeps the state of each known endpoint.
+ *
+ * @property leaving the endpoints that have said that they leave; outlasts their states, which end with their entries.
+ */
+internal class EndpointStates(val leaving: LeavingEndpoints = LeavingEndpoints()) {
     private val states = HashMap<EndpointId, EndpointState>()
 
     /** Returns the state of [known]; a new one if the endpoint is unknown or has restarted. */
@@ -63,6 +68,9 @@
         return EndpointState(known.entry.startedAtMs, limit).also { states[id] = it }
     }
 
+    /** Returns whether [known] has said that it leaves. */
+    fun isLeaving(known: KnownEndpoint): Boolean = leaving.isLeaving(known.entry.endpoint.id, known.entry.startedAtMs)
+
     /** Returns the states of all endpoints. */
     fun all(): Map<EndpointId, EndpointState> = states
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/HeaderMapping.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/HeaderMapping.kt
@@ -54,6 +54,7 @@
  * @property notRun whether the endpoint states that it did not run the request.
  * @property activeRequests the requests that are running or queued at the endpoint, or null if not stated.
  * @property limit the requests a second that the endpoint takes from all routers together, as far as stated.
+ * @property leaving whether the endpoint states that it is about to exit and only finishes what it has.
  */
 public data class ResponseMetadata(
     val requestId: String?,
@@ -61,6 +62,7 @@
     val notRun: Boolean,
     val activeRequests: Int?,
     val limit: StatedLimit = StatedLimit.None,
+    val leaving: Boolean = false,
 )
 
 /**
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerDigest.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerDigest.kt
@@ -18,6 +18,8 @@
  * @property startedAtMs the incarnation of the endpoint that [cachedPrefixes] belong to.
  * @property cachedPrefixes hashes of the shared prefixes of prompts that the engine has processed lately.
  * @property limit the limit that the endpoint has lately stated to the sender, or null if it stated none lately.
+ * @property leavingAgeMs the time since a response in which the endpoint told the sender that it leaves, or null if
+ *   there was none lately.
  */
 @Serializable
 internal data class EndpointDigest(
@@ -27,6 +29,7 @@
     val startedAtMs: Long = 0,
     @ProtoPacked @ProtoType(ProtoIntegerType.FIXED) val cachedPrefixes: List<Long> = emptyList(),
     val limit: LimitDigest? = null,
+    val leavingAgeMs: Long? = null,
 )
 
 /**
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerLoads.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerLoads.kt
@@ -28,7 +28,10 @@
     private fun onEndpoints(peer: InstanceId, endpoints: Map<String, EndpointDigest>, nowMs: Long) {
         val previous = reportedEndpoints.put(peer, endpoints.keys).orEmpty()
         previous.forEach { id -> if (id !in endpoints) stateOf(id)?.engine?.onPeer(peer, LoadSummary.EMPTY, nowMs) }
-        endpoints.forEach { (id, digest) -> stateOf(id)?.let { apply(peer, it, digest, nowMs) } }
+        endpoints.forEach { (id, digest) ->
+            stateOf(id)?.let { apply(peer, it, digest, nowMs) }
+            digest.leavingAgeMs?.let { load.states.leaving.onPeer(EndpointId(id), digest.startedAtMs, it) }
+        }
     }
 
     /** Ignores what another incarnation of the endpoint has cached. */
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayContext.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayContext.kt
@@ -1,5 +1,6 @@
 package corneltrack.router.relay
 
+import corneltrack.policy.discovery.LeavingEndpoints
 import corneltrack.policy.limits.EndpointSignal
 import corneltrack.policy.limits.EventLoopLag
 import corneltrack.policy.limits.SlidingWindowRetryBudget
@@ -23,6 +24,7 @@
     val suspects: CrashSuspects,
     val partSuspects: PartSuspects,
     val transfers: TransferSuccess,
+    private val leaving: LeavingEndpoints,
     private val bounds: RelayBounds,
     private val eventLoopLag: EventLoopLag,
     private val monotonicMs: () -> Long,
@@ -49,8 +51,20 @@
         if (target.state.health.onSignal(signal, nowMs())) eventLog.ejected(target.endpoint.id, signal)
     }
 
+    /** Records what a response says about the endpoint itself, which holds for later requests. */
+    fun onStatement(target: Target, metadata: ResponseMetadata) {
+        onStatedLimit(target, metadata.limit)
+        if (metadata.leaving) {
+            leaving.onResponse(target.endpoint.id, target.state.startedAtMs, nowMs())
+            connections.discard(target.endpoint.id)
+        }
+    }
+
+    /** Whether the endpoint of [target] has said, since it was chosen or before, that it leaves. */
+    fun isLeaving(target: Target): Boolean = leaving.isLeaving(target.endpoint.id, target.state.startedAtMs)
+
     /** Records the limit that a response of the endpoint states, and logs if it changes or cannot be read. */
-    fun onStatedLimit(target: Target, stated: StatedLimit) {
+    private fun onStatedLimit(target: Target, stated: StatedLimit) {
         val state = target.state.limit
         val changed = state.onResponse(stated, nowMs())
         if (changed || stated is StatedLimit.Unreadable) {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayMetrics.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayMetrics.kt
@@ -1,5 +1,6 @@
 package corneltrack.router.relay
 
+import corneltrack.policy.discovery.LeavingSource
 import corneltrack.policy.limits.RelayAttemptResult
 import corneltrack.router.callers.Refusal
 import io.prometheus.metrics.core.metrics.Counter
@@ -25,6 +26,9 @@
     private val placementRefusals = Counter.builder().name("corneltrack_relay_placement_refusals")
         .help("Prompts refused by all engines, by reason and by the workspace's tokens against its fair share.")
         .labelNames("reason", "share").register(registry)
+    private val leavingEndpoints = Counter.builder().name("corneltrack_relay_leaving_endpoints")
+        .help("Endpoints that were learned to leave from a response, by who received it.").labelNames("source")
+        .register(registry)
     private val firstEvent = Histogram.builder().name("corneltrack_relay_first_event_seconds").unit(SECONDS)
         .help("Time from arrival to the first event.").labelNames("route").register(registry)
     private val pause = Histogram.builder().name("corneltrack_relay_longest_pause_seconds").unit(SECONDS)
@@ -79,6 +83,9 @@
         placementRefusals.labelValues(reason.substringBefore(RESULT_DETAIL_SEPARATOR), share).inc()
     }
 
+    /** Counts an endpoint that is learned to leave. */
+    fun onLeaving(source: LeavingSource) = leavingEndpoints.labelValues(source.name.lowercase()).inc()
+
     /** Counts an attempt that failed. */
     fun onAttemptFailed(result: RelayAttemptResult) = attempts.labelValues(result.javaClass.simpleName).inc()
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
@@ -2,6 +2,8 @@
 
 import corneltrack.policy.discovery.ClockReading
 import corneltrack.policy.discovery.Clocks
+import corneltrack.policy.discovery.LeavingEndpoints
+import corneltrack.policy.discovery.LeavingSource
 import corneltrack.policy.limits.EventLoopLag
 import corneltrack.router.EndpointConnections
 import corneltrack.router.callers.CallerConnection
@@ -14,6 +16,7 @@
 import corneltrack.wire.ControlResponse
 import corneltrack.wire.ControlServer
 import corneltrack.wire.event
+import corneltrack.world.EndpointId
 import corneltrack.world.routing.RoutingTable
 import io.netty.channel.EventLoop
 import io.netty.channel.EventLoopGroup
@@ -52,7 +55,8 @@
 ) : AutoCloseable {
     private val loop: EventLoop = eventLoopGroup.next()
     private val clock: Clocks = { ClockReading(monotonicClock(), wallClock()) }
-    private val load = FleetLoad()
+    private val metrics = RelayMetrics()
+    private val load = FleetLoad(EndpointStates(LeavingEndpoints(::onLeaving)))
     private val routingState = RoutingState(source, settings.bounds, loop, clock, { peers.rank() }, ::onTable)
     private val suspects = CrashSuspects(wallClock) { peers.share(it) }
     private val partSuspects = PartSuspects(wallClock)
@@ -63,7 +67,6 @@
     }
     private val peers: PeerExchange =
         PeerExchange(settings, source.peers, loop, clock, shared, suspects::onPeerSuspicion)
-    private val metrics = RelayMetrics()
     private val context = RelayContext(
         loop,
         headerMapping,
@@ -78,6 +81,7 @@
         suspects,
         partSuspects,
         load.transfers,
+        load.states.leaving,
         settings.bounds,
         eventLoopLag,
         monotonicClock,
@@ -177,6 +181,15 @@
         }
     }
 
+    private fun onLeaving(endpoint: EndpointId, source: LeavingSource, ageMs: Long) {
+        metrics.onLeaving(source)
+        logger.event("endpoint_leaving") {
+            field("endpoint", endpoint)
+            field("source", source.name.lowercase())
+            field("age_ms", ageMs)
+        }
+    }
+
     private fun onTable(table: RoutingTable) {
         val limits = table.limits
         connectionLimits =
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayFixture.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayFixture.kt
@@ -130,8 +130,11 @@
     }
 
     /** Sends the router a digest of [peer]. */
-    fun sendDigest(peer: String, load: RouterDigest) {
-        val bytes = wireProtobuf.encodeToByteArray(PeerDigest(peer, router = load))
+    fun sendDigest(peer: String, load: RouterDigest) = sendDigest(PeerDigest(peer, router = load))
+
+    /** Sends the router [digest] of a peer. */
+    fun sendDigest(digest: PeerDigest) {
+        val bytes = wireProtobuf.encodeToByteArray(digest)
         val address = InetAddress.getByName(settings.peers.host)
         DatagramSocket().use { it.send(DatagramPacket(bytes, bytes.size, address, settings.peers.port)) }
     }
@@ -288,6 +291,7 @@
             headers.contains("not-run"),
             activeRequests = null,
             parseStatedLimit(headers.get("limit")),
+            leaving = headers.contains("leaving"),
         )
     },
 )
