Bound what responses hold together, and keep nothing of a body that is passed on

What callers would see: a faulty endpoint that sends without end takes the router's memory, with which other callers' requests may end.

Cause: BufferedDelivery copied what it passed on and never freed the original, so that one response took memory by its whole length. And bodies of up to 1 MiB and events of up to 128 KiB were bounded a response, not over all of them.

Why this works: the buffer itself is passed on, and ResponseMemory bounds what all responses hold to 8 MiB; beyond, bodies are passed on as they arrive and long events end their attempt. More than 16,384 pieces of under 64 bytes in a second end an attempt as well, since each costs the processor as much as a long one.

EndlessResponseTest failed once (502 for 200): its second request was sent before the endpoint's bytes had reached the idle connection, and met them as its answer, which is refused as it should be. It now waits until the connection is closed, and a test of its own states the other order.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointAttempt.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointAttempt.kt
@@ -132,6 +132,7 @@
     fun onWritable(writable: Boolean) = exchange.onWritable(writable)
 
     private inner class Listener : ExchangeListener {
+        private val tinyChunks = TinyChunks()
         private var discardedBytes = 0
 
         override fun onConnected(reused: Boolean): DefaultFullHttpRequest? {
@@ -162,9 +163,9 @@
             when {
                 notRun -> Unit
                 !metadata.authentic -> onBroken("unsigned answer with status $code")
-                events -> delivery = EventStreamDelivery(call, response) { onEvent() }
+                events -> delivery = EventStreamDelivery(call, response, context.responseMemory) { onEvent() }
                 call.responseStarted -> Unit
-                else -> delivery = BufferedDelivery(call, response)
+                else -> delivery = BufferedDelivery(call, response, context.responseMemory)
             }
         }
 
@@ -174,12 +175,12 @@
         }
 
         override fun onContent(data: ByteBuf) {
-            val current = delivery
-            when {
-                current == null -> onDiscarded(data.readableBytes())
-                !current.onContent(data) -> onBroken("an event without an end")
-                else -> exchange.onWritable(call.sink.writable)
+            val current = delivery ?: return onDiscarded(data.readableBytes())
+            val failure = when {
+                tinyChunks.onChunk(data.readableBytes(), context.nowMs()) -> "a flood of short pieces"
+                else -> current.onContent(data)
             }
+            if (failure == null) exchange.onWritable(call.sink.writable) else onBroken(failure)
         }
 
         override fun onEnd() {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EventSplitter.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EventSplitter.kt
@@ -31,8 +31,11 @@
     /** Whether bytes of an incomplete event are buffered. */
     val hasPartialEvent: Boolean get() = pending.isReadable
 
+    /** The length of the incomplete event, in bytes. */
+    val partialEventBytes: Int get() = pending.readableBytes()
+
     /** Whether the incomplete event exceeds the maximum length. */
-    val partialEventTooLong: Boolean get() = pending.readableBytes() > MAXIMUM_EVENT_BYTES
+    val partialEventTooLong: Boolean get() = partialEventBytes > MAXIMUM_EVENT_BYTES
 
     /** Appends [data] and returns the events that it completes. Does not release [data]. */
     fun feed(data: ByteBuf): List<StreamEvent> {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayContext.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayContext.kt
@@ -29,6 +29,8 @@
     private val eventLoopLag: EventLoopLag,
     private val monotonicMs: () -> Long,
 ) {
+    /** What responses hold that is not passed on yet. */
+    val responseMemory = ResponseMemory()
     private val retryBudgets = HashMap<PoolId, SlidingWindowRetryBudget>()
 
     /** Returns the current time of the monotonic clock, in ms. */
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayMetrics.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayMetrics.kt
@@ -46,12 +46,17 @@
     private val reportingPeers = Gauge.builder().name("corneltrack_relay_reporting_peers")
         .help("Peers whose rates are part of the fair share.").register(registry)
 
+    private val heldResponses = Gauge.builder().name("corneltrack_relay_held_response_bytes")
+        .help("Bytes of responses that are not passed on yet.").register(registry)
     private val warmUpRequests = Gauge.builder().name("corneltrack_relay_warm_up_requests")
         .help("Made-up requests that were run to have the code compiled, once all have.").register(registry)
 
     /** Records that [requests] made-up requests have been run. */
     fun onWarmedUp(requests: Int) = warmUpRequests.set(requests.toDouble())
 
+    /** Records what responses hold that is not passed on yet, in bytes. */
+    fun onHeldResponses(bytes: Long) = heldResponses.set(bytes.toDouble())
+
     /** Records the load of the router. */
     fun onLoad(load: RouterLoad) {
         lag.set(load.lagMs / MS_PER_SECOND)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
@@ -175,6 +175,7 @@
     private fun runMaintenance() {
         try {
             routingState.expire()
+            metrics.onHeldResponses(context.responseMemory.heldBytes)
             load.states.retain(routingState.directory.endpoints.keys)
         } catch (fault: IllegalStateException) {
             logger.event("tick_failed", Level.ERROR) { field("reason", fault) }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/ResponseDelivery.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/ResponseDelivery.kt
@@ -6,13 +6,16 @@
 
 private const val MAXIMUM_BUFFERED_BYTES = 1024 * 1024
 
+/** Up to this size, an event that has not ended is held however much other responses hold. */
+private const val SMALL_EVENT_BYTES = 8 * 1024
+
 /** Forwards the body of one endpoint's response to the caller. */
 internal interface ResponseDelivery : AutoCloseable {
     /** Whether the body could end here. */
     val mayEnd: Boolean
 
-    /** Processes a part of the body without releasing it. Returns false if the body is not a valid response. */
-    fun onContent(data: ByteBuf): Boolean
+    /** Processes a part of the body without releasing it. Returns why the body is not a valid response, or null. */
+    fun onContent(data: ByteBuf): String?
 
     /** Sends what is left of the complete response to the caller, and its end. */
     fun deliver()
@@ -29,16 +32,23 @@
 internal class EventStreamDelivery(
     private val call: RelayedCall,
     private val head: HttpResponse,
+    memory: ResponseMemory,
     private val onEvent: () -> Unit,
 ) : ResponseDelivery {
+    private val held = memory.newPart()
     private val events = EventSplitter()
     private val resumeAfterId = call.lastEventId?.toLongOrNull()
 
     override val mayEnd: Boolean get() = !events.hasPartialEvent
 
-    override fun onContent(data: ByteBuf): Boolean {
+    override fun onContent(data: ByteBuf): String? {
         events.feed(data).forEach(::forward)
-        return !events.partialEventTooLong
+        val partialBytes = events.partialEventBytes
+        return when {
+            events.partialEventTooLong -> "an event without an end"
+            !held.tryHold(partialBytes) && partialBytes > SMALL_EVENT_BYTES -> "a long event while memory is short"
+            else -> null
+        }
     }
 
     override fun deliver() {
@@ -46,7 +56,10 @@
         call.sink.end()
     }
 
-    override fun close() = events.close()
+    override fun close() {
+        held.release()
+        events.close()
+    }
 
     private fun forward(event: StreamEvent) {
         onEvent()
@@ -68,16 +81,23 @@
 /**
  * Buffers a body until it is complete, so that the caller gets nothing of a truncated one.
  *
- * Once a body exceeds [MAXIMUM_BUFFERED_BYTES], it is forwarded as it arrives.
+ * Once a body exceeds [MAXIMUM_BUFFERED_BYTES], or all responses together hold too much, it is forwarded as it arrives.
  */
-internal class BufferedDelivery(private val call: RelayedCall, private val head: HttpResponse) : ResponseDelivery {
-    private val body: ByteBuf = Unpooled.buffer(0)
+internal class BufferedDelivery(
+    private val call: RelayedCall,
+    private val head: HttpResponse,
+    memory: ResponseMemory,
+) : ResponseDelivery {
+    private val held = memory.newPart()
+    private var body: ByteBuf = Unpooled.buffer(0)
     override val mayEnd: Boolean get() = true
 
-    override fun onContent(data: ByteBuf): Boolean {
+    override fun onContent(data: ByteBuf): String? {
         body.writeBytes(data, data.readerIndex(), data.readableBytes())
-        if (call.responseStarted || body.readableBytes() > MAXIMUM_BUFFERED_BYTES) sendBody()
-        return true
+        val bytes = body.readableBytes()
+        val mayHold = !call.responseStarted && bytes <= MAXIMUM_BUFFERED_BYTES && held.tryHold(bytes)
+        if (!mayHold) sendBody()
+        return null
     }
 
     override fun deliver() {
@@ -85,11 +105,16 @@
         call.sink.end()
     }
 
-    override fun close() = Unit
+    override fun close() {
+        held.release()
+    }
 
+    /** Passes the buffer on, which the sink releases, so that nothing of the body stays here. */
     private fun sendBody() {
         call.deliverHead(head)
-        if (body.isReadable) call.sink.content(body.readBytes(body.readableBytes()))
+        if (body.isReadable) call.sink.content(body)
+        body = Unpooled.buffer(0)
+        held.release()
     }
 }
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/WarmUp.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/WarmUp.kt
@@ -67,6 +67,7 @@
     private val shedding = LoadShedding(EventLoopLag(SLICE_INTERVAL_MS), load.shares)
     private val chooser = TargetChooser(settings, routingState, load, clock) { null }
     private val connections = CallerConnections()
+    private val memory = ResponseMemory()
     private val body = ByteArray(BODY_BYTES)
     private val event = Unpooled.copiedBuffer("id: 1\ndata: ${"x".repeat(EVENT_BYTES)}\n\n", Charsets.US_ASCII)
     private var done = 0
@@ -146,7 +147,7 @@
 
     private fun stream(call: RelayedCall) {
         val head = DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.OK)
-        EventStreamDelivery(call, head) {}.use { delivery ->
+        EventStreamDelivery(call, head, memory) {}.use { delivery ->
             repeat(EVENTS_PER_STREAM) { delivery.onContent(event) }
             delivery.deliver()
         }
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/EndlessResponseTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/EndlessResponseTest.kt
@@ -104,11 +104,30 @@
         }
         fixture.start()
 
-        val responses = listOf("first", "second").map { fixture.call("/once/x", id = it) }
+        val first = fixture.call("/once/x", id = "first")
+        await("the endpoint's connection to be closed") { endpoint.closedByPeer.isNotEmpty() }
+        val second = fixture.call("/once/x", id = "second")
 
-        responses.forEach { assertTrue(it.startsWith("HTTP/1.1 200") && it.endsWith("\r\n\r\ndone"), "found $it") }
+        listOf(first, second)
+            .forEach { assertTrue(it.startsWith("HTTP/1.1 200") && it.endsWith("\r\n\r\ndone"), "found $it") }
         assertEquals(2, endpoint.requests.size)
-        await("the endpoint's connection to be closed") { endpoint.closedByPeer.isNotEmpty() }
+    }
+
+    @Test
+    fun `bytes without an end where the next response is due reach no caller`() {
+        fixture.endpoint("a", "services") { request, socket ->
+            if (request.id == "first") {
+                socket.send(signedResponse(request, "done"))
+            } else {
+                socket.sendEndlessly("", "x".repeat(100))
+            }
+        }
+        fixture.start()
+
+        fixture.call("/once/x", id = "first")
+        val second = fixture.call("/once/x", id = "second")
+
+        assertTrue(second.startsWith("HTTP/1.1 502") && "xxxx" !in second, "found $second")
     }
 
     /** Returns the response to a call of [path], after checking that the router closed the connection early. */
