Bound the bodies of requests over all connections

Cause: parts of a body were kept in direct buffers until the body was whole, each within its limit and no bound over all.

What does not fit is refused at its head, as not run, with Retry-After; its body is read and dropped so that its caller sees the refusal.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerConnection.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerConnection.kt
@@ -1,7 +1,5 @@
 package corneltrack.router.callers
 
-import io.netty.buffer.ByteBuf
-import io.netty.buffer.CompositeByteBuf
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.EventLoop
@@ -49,7 +47,9 @@
 /**
  * Reads one caller's requests one after the other and writes their responses.
  *
- * A pipelined request, which arrives before the previous response has ended, waits until it has.
+ * A pipelined request, which arrives before the previous response has ended, waits until it has. A request for whose
+ * body there is no memory is refused at its head; the body is then read and dropped, since a caller that is still
+ * sending when the connection closes may not see the refusal.
  *
  * @param connections all open connections, which also say whether the process is draining.
  */
@@ -65,7 +65,7 @@
     val idle: Boolean get() = head == null && response == null && pipelined.isEmpty()
     private var context: ChannelHandlerContext? = null
     private var head: HttpRequest? = null
-    private var body: CompositeByteBuf? = null
+    private var body: RequestBody? = null
     private var response: CallerResponse? = null
     private var closing = false
 
@@ -105,7 +105,9 @@
     /** Limits the time for the rest of a body; most requests arrive whole and need no timer. */
     override fun channelReadComplete(context: ChannelHandlerContext) {
         if (head != null && timer == null) {
-            timer = context.after(BODY_TIMEOUT_MS) { refuseAndClose(context, BODY_TIMEOUT) }
+            timer = context.after(BODY_TIMEOUT_MS) {
+                if (body == null) context.close() else refuseAndClose(context, BODY_TIMEOUT)
+            }
         }
         context.fireChannelReadComplete()
     }
@@ -115,8 +117,7 @@
         timer?.cancel(false)
         idleTimer.cancel()
         response?.onCallerDisconnected()
-        body?.release()
-        body = null
+        assembler.dropBody()
         pipelined.forEach(ReferenceCountUtil::release)
         pipelined.clear()
     }
@@ -143,43 +144,65 @@
                 refuseAndClose(context, unreadable(failure))
                 return
             }
-            if (HttpUtil.is100ContinueExpected(request)) {
-                context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
-            }
             timer?.cancel(false)
             timer = null
             head = request
+            val received = RequestBody(request, limits.bodyBytes, connections.bodyMemory.newPart())
+            body = received
+            if (!received.reserve()) {
+                refuseAndDrop(context)
+            } else if (HttpUtil.is100ContinueExpected(request)) {
+                context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
+            }
         }
 
         fun onContent(context: ChannelHandlerContext, content: HttpContent) {
-            val receivedBytes = (body?.readableBytes() ?: 0) + content.content().readableBytes()
+            val received = body
             when {
                 content.decoderResult().isFailure -> refuseAndClose(context, UNREADABLE)
-                receivedBytes > limits.bodyBytes -> refuseAndClose(context, BODY_TOO_LARGE)
-                content is LastHttpContent -> onComplete(context, joinBody(content))
-                else -> {
-                    val received = body ?: context.alloc().compositeBuffer(Int.MAX_VALUE).also { body = it }
-                    received.addComponent(true, content.content().retain())
-                }
+                received == null -> if (content is LastHttpContent) onDropped(context)
+                !received.add(content.content()) ->
+                    if (received.tooLarge) {
+                        refuseAndClose(context, BODY_TOO_LARGE)
+                    } else {
+                        refuseAndDrop(context)
+                        if (content is LastHttpContent) onDropped(context)
+                    }
+                content is LastHttpContent -> onComplete(context, received)
             }
         }
 
-        /** Returns the whole body; most bodies arrive with their [last] content alone. */
-        private fun joinBody(last: LastHttpContent): ByteArray {
-            val received = body ?: return last.content().bytes()
-            received.addComponent(true, last.content().retain())
+        fun dropBody() {
+            body?.release()
             body = null
-            return received.bytes().also { received.release() }
         }
 
-        private fun onComplete(context: ChannelHandlerContext, body: ByteArray) {
+        /** Refuses the request at once; what is left of its body is read and dropped. */
+        private fun refuseAndDrop(context: ChannelHandlerContext) {
+            dropBody()
+            head?.let(connections.onBodyRefused)
+            CallerResponse(context, keepAlive = { true }) { }.refuse(NO_BODY_MEMORY)
+        }
+
+        private fun onDropped(context: ChannelHandlerContext) {
+            val keepAlive = head?.let(HttpUtil::isKeepAlive) == true && connections.mayStayOpen
+            head = null
+            if (keepAlive) awaitRequest(context) else context.close()
+        }
+
+        private fun onComplete(context: ChannelHandlerContext, received: RequestBody) {
             timer?.cancel(false)
             timer = null
-            val request = CallerRequest(head!!, body)
+            val request = CallerRequest(head!!, received.bytes())
             head = null
+            body = null
             val keepAlive = HttpUtil.isKeepAlive(request.head)
             connections.onRequest()
-            val current = CallerResponse(context, { keepAlive && connections.mayStayOpen }, connections::onWritten) {
+            val onWritten = {
+                connections.onWritten()
+                received.release()
+            }
+            val current = CallerResponse(context, { keepAlive && connections.mayStayOpen }, onWritten) {
                 onResponseEnded(context)
             }
             response = current
@@ -209,8 +232,7 @@
         timer?.cancel(false)
         closing = true
         head = null
-        body?.release()
-        body = null
+        assembler.dropBody()
         CallerResponse(context, keepAlive = { false }) { }.refuse(refusal)
     }
 }
@@ -221,13 +243,19 @@
 private fun ChannelHandlerContext.after(delayMs: Long, action: () -> Unit): ScheduledFuture<*> =
     executor().schedule(action, delayMs, TimeUnit.MILLISECONDS)
 
-private fun ByteBuf.bytes(): ByteArray = ByteArray(readableBytes()).also { getBytes(readerIndex(), it) }
-
 private val UNREADABLE =
     Refusal(HttpResponseStatus.BAD_REQUEST, "bad_request", "The request is not valid HTTP.")
 private val HEAD_TOO_LARGE =
     Refusal(HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE, "head_too_large", "The request head is too large.")
 private val BODY_TOO_LARGE =
     Refusal(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE, "body_too_large", "The request body is too large.")
+
+/** Refuses a request whose body would take more memory than there is for the bodies of all callers. */
+internal val NO_BODY_MEMORY: Refusal = Refusal(
+    HttpResponseStatus.SERVICE_UNAVAILABLE,
+    "body_memory",
+    "The bodies of other requests take the memory of this router.",
+    retryAfterMs = DEFAULT_RETRY_AFTER_MS,
+)
 private val BODY_TIMEOUT =
     Refusal(HttpResponseStatus.REQUEST_TIMEOUT, "body_timeout", "The request body did not arrive in time.")
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerConnections.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerConnections.kt
@@ -1,6 +1,7 @@
 package corneltrack.router.callers
 
 import corneltrack.router.Clock
+import io.netty.handler.codec.http.HttpRequest
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
@@ -18,8 +19,14 @@
  *
  * @param maximum the connections that may be open at once, so that descriptors are left for endpoints, peers and the
  *   store however many callers connect.
+ * @property bodyMemory the memory for the bodies of all requests.
+ * @property onBodyRefused called with the head of each request for whose body there is no memory.
  */
-internal class CallerConnections(private val maximum: Int = Int.MAX_VALUE) {
+internal class CallerConnections(
+    private val maximum: Int = Int.MAX_VALUE,
+    val bodyMemory: BodyMemory = BodyMemory(),
+    val onBodyRefused: (HttpRequest) -> Unit = {},
+) {
     private val open: MutableSet<CallerConnection> = ConcurrentHashMap.newKeySet()
     private val pending = AtomicInteger()
     private val accepted = AtomicLong()
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallHandler.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallHandler.kt
@@ -39,6 +39,7 @@
     private val shares: FairShareTracker,
     private val eventLoopLag: EventLoopLag,
     private val loadReport: LoadReport,
+    private val refusals: RefusalRecorder,
 ) {
     private val longestTimeLeftMs = HashMap<String, Long>()
     private val shedding = LoadShedding(eventLoopLag, shares)
@@ -85,10 +86,7 @@
         metadata.apiKey?.let { routingState.table?.workspaceForKey(it) }?.id
 
     private fun refuse(metadata: CallerMetadata, refusal: Refusal, sink: ResponseSink): () -> Unit {
-        val nowMs = context.nowMs()
-        context.eventLog.refusedAtAdmission(metadata, keyHolder(metadata), refusal, eventLoopLag.lagMs(nowMs), nowMs)
-        loadReport.onRefused(refusal)
-        context.metrics.onRefusedAtAdmission(refusal)
+        refusals.record(metadata, keyHolder(metadata), refusal)
         sink.refuse(refusal)
         return {}
     }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayMetrics.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayMetrics.kt
@@ -46,6 +46,8 @@
     private val reportingPeers = Gauge.builder().name("corneltrack_relay_reporting_peers")
         .help("Peers whose rates are part of the fair share.").register(registry)
 
+    private val heldBodies = Gauge.builder().name("corneltrack_relay_held_body_bytes")
+        .help("Bytes held for the bodies of requests.").register(registry)
     private val heldResponses = Gauge.builder().name("corneltrack_relay_held_response_bytes")
         .help("Bytes of responses that are not passed on yet.").register(registry)
     private val warmUpRequests = Gauge.builder().name("corneltrack_relay_warm_up_requests")
@@ -54,8 +56,11 @@
     /** Records that [requests] made-up requests have been run. */
     fun onWarmedUp(requests: Int) = warmUpRequests.set(requests.toDouble())
 
-    /** Records what responses hold that is not passed on yet, in bytes. */
-    fun onHeldResponses(bytes: Long) = heldResponses.set(bytes.toDouble())
+    /** Records what the bodies of requests hold, and what responses hold that is not passed on yet, in bytes. */
+    fun onHeldBytes(bodies: Long, responses: Long) {
+        heldBodies.set(bodies.toDouble())
+        heldResponses.set(responses.toDouble())
+    }
 
     /** Records the load of the router. */
     fun onLoad(load: RouterLoad) {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
@@ -86,9 +86,11 @@
         eventLoopLag,
         monotonicClock,
     )
-    private val connections = CallerConnections(settings.maximumCallerConnections)
+    private val connections = CallerConnections(settings.maximumCallerConnections) { refusals.onBodyRefused(it) }
     private val loadReport = LoadReport(eventLoopLag, connections, load.shares, metrics)
-    private val callHandler = CallHandler(routingState, context, load.shares, eventLoopLag, loadReport)
+    private val refusals: RefusalRecorder = RefusalRecorder(context, eventLoopLag, loadReport)
+    private val callHandler =
+        CallHandler(routingState, context, load.shares, eventLoopLag, loadReport, refusals)
     private val callers = CallerServer(eventLoopGroup) {
         CallerConnection(connectionLimits, connections) { request, _, sink -> callHandler.handle(request, sink) }
     }
@@ -175,7 +177,7 @@
     private fun runMaintenance() {
         try {
             routingState.expire()
-            metrics.onHeldResponses(context.responseMemory.heldBytes)
+            metrics.onHeldBytes(connections.bodyMemory.heldBytes, context.responseMemory.heldBytes)
             load.states.retain(routingState.directory.endpoints.keys)
         } catch (fault: IllegalStateException) {
             logger.event("tick_failed", Level.ERROR) { field("reason", fault) }
