Close the connection of a caller that waits for the permission to send a body that does not fit

Such a caller may never send the body, and the next request on its connection would have been read and dropped as the body. Found when reading the change again; the test states it.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerConnection.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerConnection.kt
@@ -149,10 +149,11 @@
             head = request
             val received = RequestBody(request, limits.bodyBytes, connections.bodyMemory.newPart())
             body = received
-            if (!received.reserve()) {
-                refuseAndDrop(context)
-            } else if (HttpUtil.is100ContinueExpected(request)) {
-                context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
+            val reserved = received.reserve()
+            when {
+                reserved && HttpUtil.is100ContinueExpected(request) ->
+                    context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
+                !reserved -> refuseAndDrop(context, request)
             }
         }
 
@@ -165,7 +166,7 @@
                     if (received.tooLarge) {
                         refuseAndClose(context, BODY_TOO_LARGE)
                     } else {
-                        refuseAndDrop(context)
+                        refuseAndDrop(context, head!!)
                         if (content is LastHttpContent) onDropped(context)
                     }
                 content is LastHttpContent -> onComplete(context, received)
@@ -177,11 +178,18 @@
             body = null
         }
 
-        /** Refuses the request at once; what is left of its body is read and dropped. */
-        private fun refuseAndDrop(context: ChannelHandlerContext) {
+        /**
+         * Refuses the request at once; what is left of its body is read and dropped. A caller that waits for the
+         * permission to send its body may never send it, so that its connection closes.
+         */
+        private fun refuseAndDrop(context: ChannelHandlerContext, request: HttpRequest) {
             dropBody()
-            head?.let(connections.onBodyRefused)
-            CallerResponse(context, keepAlive = { true }) { }.refuse(NO_BODY_MEMORY)
+            connections.onBodyRefused(request)
+            if (HttpUtil.is100ContinueExpected(request)) {
+                refuseAndClose(context, NO_BODY_MEMORY)
+            } else {
+                CallerResponse(context, keepAlive = { true }) { }.refuse(NO_BODY_MEMORY)
+            }
         }
 
         private fun onDropped(context: ChannelHandlerContext) {
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/callers/BodyMemoryTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/callers/BodyMemoryTest.kt
@@ -76,6 +76,21 @@
         assertEquals(0, memory.heldBytes, "held after the last response")
     }
 
+    @Test
+    fun `a caller that waits for the permission to send its body is refused and its connection closed`() {
+        val connections = CallerConnections(bodyMemory = memory)
+        val channel = EmbeddedChannel()
+        channel.pipeline().addCallerHandlers(
+            CallerConnection(ConnectionLimits(bodyBytes = 1_000_000), connections) { _, _, _ -> ({}) },
+        )
+        memory.newPart().tryHold(3 * LONG_BYTES)
+
+        channel.send("POST / HTTP/1.1\r\nexpect: 100-continue\r\ncontent-length: $LONG_BYTES\r\n\r\n")
+
+        assertTrue(channel.received().startsWith("HTTP/1.1 503"))
+        assertFalse(channel.isOpen, "the connection is open")
+    }
+
     @Test
     fun `a body in chunks is refused where it no longer fits and frees what it held`() {
         val connections = CallerConnections(bodyMemory = memory)
