--- a/corneltrack-router/src/main/kotlin/corneltrack/router/callers/BodyMemory.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/callers/BodyMemory.kt
@@ -6,10 +6,10 @@
 private const val SHORT_BODY_BYTES = 64 * 1024L
 
 /** The part of the heap that bodies may occupy; each is copied once more, outside the heap, while it is sent. */
-private const val BODIES_HEAP_FRACTION = 0.375
+private const val BODIES_HEAP_FRACTION = 0.5
 
 /** The part of the heap that is added to it for short bodies. */
-private const val SHORT_BODIES_HEAP_FRACTION = 0.125
+private const val SHORT_BODIES_HEAP_FRACTION = 0.0625
 
 /**
  * Bounds the memory that the bodies of all requests occupy together, from their heads until their responses have been
