Wait in EndpointConnectionsTest until handlers know of the close

Traced by reading: a close completes before the task that makes the channel inactive is queued, so the test's own task could come first. It now waits for a second task, which can't. The check is unchanged.

--- a/corneltrack-router/src/test/kotlin/corneltrack/router/EndpointConnectionsTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/EndpointConnectionsTest.kt
@@ -66,11 +66,17 @@
         val lost = connect(endpoints.first())
         release(lost, endpoints.first())
         lost.close().sync()
-        loop.submit { }.sync()
+        awaitInactive()
 
         assertTrue(connections.idleCount == 0, "idle connections after the last was lost: ${connections.idleCount}")
     }
 
+    /**
+     * Waits until handlers know of a close that has completed. It completes before the task that tells them is queued,
+     * so that a first task may come before that one; a second task comes after it.
+     */
+    private fun awaitInactive() = repeat(2) { loop.submit { }.sync() }
+
     private fun connect(endpoint: Endpoint): Channel = connections.connect(loop, endpoint, NOW_MS).sync().channel()
 
     private fun release(channel: Channel, endpoint: Endpoint) {
