Send no second answer where a dropped body turns out to be unreadable

What callers saw: none yet; found when reading the change again. A request without memory for its body gets 503 at once and the rest is dropped; a bad chunk in that rest was answered 400, an answer to no request. The connection is closed now.

Evidence: BodyMemoryTest's case of a body in chunks failed before ("a second answer to the request", 400) and passes, as do CallerServerTest and RelayRouterTest and the linter.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerConnection.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerConnection.kt
@@ -160,14 +160,14 @@
         fun onContent(context: ChannelHandlerContext, content: HttpContent) {
             val received = body
             when {
+                received == null -> onDropped(context, content)
                 content.decoderResult().isFailure -> refuseAndClose(context, UNREADABLE)
-                received == null -> if (content is LastHttpContent) onDropped(context)
                 !received.add(content.content()) ->
                     if (received.tooLarge) {
                         refuseAndClose(context, BODY_TOO_LARGE)
                     } else {
                         refuseAndDrop(context, head!!)
-                        if (content is LastHttpContent) onDropped(context)
+                        onDropped(context, content)
                     }
                 content is LastHttpContent -> onComplete(context, received)
             }
@@ -192,8 +192,11 @@
             }
         }
 
-        private fun onDropped(context: ChannelHandlerContext) {
-            val keepAlive = head?.let(HttpUtil::isKeepAlive) == true && connections.mayStayOpen
+        /** Goes on after the last [content] of a dropped body; the request has had its answer, so no other follows. */
+        private fun onDropped(context: ChannelHandlerContext, content: HttpContent) {
+            val failed = content.decoderResult().isFailure
+            if (!failed && content !is LastHttpContent) return
+            val keepAlive = !failed && head?.let(HttpUtil::isKeepAlive) == true && connections.mayStayOpen
             head = null
             if (keepAlive) awaitRequest(context) else context.close()
         }
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/callers/BodyMemoryTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/callers/BodyMemoryTest.kt
@@ -107,6 +107,9 @@
 
         assertTrue(channel.received().startsWith("HTTP/1.1 503"))
         assertEquals(2 * LONG_BYTES, memory.heldBytes)
+        channel.send("no chunk\r\n")
+        assertEquals("", channel.received(), "a second answer to the request")
+        assertFalse(channel.isOpen, "the connection is open")
     }
 
     private fun EmbeddedChannel.send(text: String) {
