Read an endpoint's version and pace, and write to the store under a condition

Roll-outs need the version of each endpoint's record, the kind of an operator's order and an append that succeeds only where the topic still ends at the offset that was read. The contracts in the settings say which parts of the product a deployment asks for. Nothing acts on any of it yet.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointAttempt.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointAttempt.kt
@@ -170,7 +170,7 @@
             val events =
                 code in FIRST_SUCCESS until FIRST_REDIRECT && call.route.responseMode == ResponseMode.EVENT_STREAM
             status = code
-            metadata.activeRequests?.let { target.state.service.onReport(it, context.nowMs()) }
+            metadata.load?.let { target.state.service.onReport(it.activeRequests, context.nowMs()) }
             val misdirected = code == HttpResponseStatus.MISDIRECTED_REQUEST.code()
             if (!misdirected && (metadata.authentic || metadata.notRun)) {
                 pauseStated = context.onStatement(target, response.status(), metadata)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/HeaderMapping.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/HeaderMapping.kt
@@ -48,13 +48,27 @@
     val prefixSource: String? = null,
 )
 
+/**
+ * Holds the load that an endpoint states.
+ *
+ * @property running the requests that the endpoint runs.
+ * @property waiting the requests in its queue.
+ * @property slots the requests that it runs at once, or null if not stated.
+ * @property pace how long work takes on the endpoint's machine at this moment, as a multiple of the usual time; null if
+ *   not stated.
+ */
+public data class StatedLoad(val running: Int, val waiting: Int, val slots: Int? = null, val pace: Double? = null) {
+    /** The requests that are running or queued. */
+    val activeRequests: Int get() = running + waiting
+}
+
 /**
  * Holds the metadata of an endpoint's response.
  *
  * @property requestIds the ids of the requests that it states to belong to, all values in their order.
  * @property authentic whether the response carries the endpoint's signature, so that no intermediary made it.
  * @property notRun whether the endpoint states that it did not run the request.
- * @property activeRequests the requests that are running or queued at the endpoint, or null if not stated.
+ * @property load the load of the endpoint, or null if not stated.
  * @property limit the requests a second that the endpoint takes from all routers together, as far as stated.
  * @property leaving whether the endpoint states that it is about to exit and only finishes what it has.
  * @property pause for how long the endpoint wants no requests of this router, as far as stated; holds in a 503 only.
@@ -63,7 +77,7 @@
     val requestIds: List<String>,
     val authentic: Boolean,
     val notRun: Boolean,
-    val activeRequests: Int?,
+    val load: StatedLoad?,
     val limit: StatedLimit = StatedLimit.None,
     val leaving: Boolean = false,
     val pause: StatedPause = StatedPause.None,
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/KeyedTopic.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/KeyedTopic.kt
@@ -45,9 +45,28 @@
  *   Times out after `waitMs` and `timeoutMs` together.
  * @property write writes the record of a key, or removes the key if the value is null. Calls back with whether the
  *   store confirmed it.
+ * @property writeAt writes the record of a key if the topic ends at an offset, or nothing otherwise.
  */
 public class KeyedTopic(
     public val newest: (after: String?, timeoutMs: Long, onResponse: (TopicResponse) -> Unit) -> Unit,
     public val read: (from: Long, waitMs: Long, timeoutMs: Long, onResponse: (TopicResponse) -> Unit) -> Unit,
     public val write: (key: String, value: ByteArray?, onDone: (Boolean) -> Unit) -> Unit,
+    public val writeAt: (key: String, value: ByteArray, end: Long, onDone: (ConditionalWrite) -> Unit) -> Unit =
+        { _, _, _, onDone -> onDone(ConditionalWrite.Unknown("not supported")) },
 )
+
+/** The result of a write under the condition that the topic ends at a given offset. */
+public sealed interface ConditionalWrite {
+    /** The record was written at the offset [position]. */
+    public data class Written(val position: Long) : ConditionalWrite
+
+    /**
+     * Nothing was written, since the topic ends elsewhere.
+     *
+     * @property end the offset after the topic's last record, or null if the store did not state it.
+     */
+    public data class Conflict(val end: Long?) : ConditionalWrite
+
+    /** The store did not confirm the call; the record may have been written or may be written later. */
+    public data class Unknown(val reason: String) : ConditionalWrite
+}
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelaySettings.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelaySettings.kt
@@ -20,6 +20,10 @@
  * @property coldStartBurstFactor the factor by which the cold-start rate of a pool may be exceeded within a second.
  * @property coldStartSlack the requests a second that a cold endpoint may get in addition to that.
  * @property drainTimeoutMs the maximum duration of a graceful shutdown, in ms.
+ * @property exposureShare the part of a pool's requests that a bad version may get during a roll-out, beside
+ *   [exposureSlack] requests.
+ * @property exposureSlack the requests that a bad version may get beyond [exposureShare].
+ * @property rollbackMs the time after the 50th bad answer of a version after which it must get no request, in ms.
  */
 public data class RelayBounds(
     val failClosed: Boolean = true,
@@ -30,8 +34,19 @@
     val coldStartBurstFactor: Double = 1.0,
     val coldStartSlack: Int = 0,
     val drainTimeoutMs: Long = 7_000,
+    val exposureShare: Double = 0.1,
+    val exposureSlack: Int = 50,
+    val rollbackMs: Long = 5_000,
 )
 
+/**
+ * Says which parts of the product the deployment's settings ask for.
+ *
+ * @property rollouts whether operators may order that a pool's traffic move to another version of its endpoints.
+ * @property contention whether callers compete for too little room at the engines at times.
+ */
+public data class RelayFeatures(val rollouts: Boolean = false, val contention: Boolean = false)
+
 /**
  * Configures a router that relays requests according to a routing table.
  *
@@ -41,6 +56,7 @@
  * @property readinessPath the path of the readiness check.
  * @property peers the UDP listening address for the digests of peers.
  * @property maximumSockets the sockets that the process may have open, or null if there is no such limit.
+ * @property features the parts of the product that the deployment asks for.
  */
 public data class RelaySettings(
     val id: InstanceId,
@@ -52,6 +68,7 @@
     val peers: HostAndPort,
     val bounds: RelayBounds = RelayBounds(),
     val maximumSockets: Int? = null,
+    val features: RelayFeatures = RelayFeatures(),
 ) {
     /** The connections of callers that may be open at once; the rest is for endpoints, peers and the store. */
     val maximumCallerConnections: Int
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RoutingState.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RoutingState.kt
@@ -6,6 +6,7 @@
 import corneltrack.wire.event
 import corneltrack.world.DataCentreId
 import corneltrack.world.EndpointId
+import corneltrack.world.PoolId
 import corneltrack.world.routing.EndpointEntry
 import corneltrack.world.routing.RoutingTable
 import io.netty.channel.EventLoop
@@ -25,6 +26,9 @@
     /** No request is sent to [dataCentre] while the record exists. */
     public data class Evacuation(val dataCentre: DataCentreId) : OperatorRecordKind
 
+    /** The record orders that the traffic of [pool] move to another version of its endpoints. */
+    public data class Rollout(val pool: PoolId) : OperatorRecordKind
+
     /** The router does not know the key and ignores the record. */
     public data object Unknown : OperatorRecordKind
 }
@@ -116,6 +120,7 @@
         when (val kind = source.operatorRecordKind(record.key)) {
             OperatorRecordKind.Table -> record.value?.let(::onTableRecord)
             is OperatorRecordKind.Evacuation -> onEvacuation(kind.dataCentre, record.value != null)
+            is OperatorRecordKind.Rollout -> logger.event("rollout_order_ignored") { field("pool", kind.pool) }
             OperatorRecordKind.Unknown -> logger.event("operator_record_unknown") { field("key", record.key) }
         }
         return true
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/FakeTopic.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/FakeTopic.kt
@@ -29,6 +29,7 @@
         newest = { after, _, onResponse -> newest(after, onResponse) },
         read = { from, waitMs, _, onResponse -> read(from, waitMs, onResponse) },
         write = ::write,
+        writeAt = ::writeAt,
     )
 
     fun put(key: String, value: String?) {
@@ -58,6 +59,15 @@
         loop.execute { onDone(true) }
     }
 
+    private fun writeAt(key: String, value: ByteArray, end: Long, onDone: (ConditionalWrite) -> Unit) {
+        val result = when {
+            unavailable -> ConditionalWrite.Unknown("unavailable")
+            end != records.size.toLong() -> ConditionalWrite.Conflict(records.size.toLong())
+            else -> ConditionalWrite.Written(end).also { records += KeyedRecord(key, value, end) }
+        }
+        loop.execute { onDone(result) }
+    }
+
     private fun respond(delayMs: Long, onResponse: (TopicResponse) -> Unit, response: () -> TopicResponse) {
         val failure = TopicResponse.Unavailable("unavailable")
         loop.schedule({ onResponse(if (unavailable) failure else response()) }, delayMs, TimeUnit.MILLISECONDS)
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayFixture.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayFixture.kt
@@ -325,7 +325,7 @@
             headers.getAll("request"),
             headers.contains("signature"),
             headers.contains("not-run"),
-            activeRequests = null,
+            load = null,
             parseStatedLimit(headers.get("limit")),
             leaving = headers.contains("leaving"),
             pause = parseStatedPause(headers.getAll("pause")),
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/ResponseOwnerTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/ResponseOwnerTest.kt
@@ -30,5 +30,5 @@
     }
 
     private fun owner(requestId: String?, signed: Boolean, vararg stated: String): ResponseOwner =
-        responseOwner(ResponseMetadata(stated.toList(), signed, notRun = false, activeRequests = null), requestId)
+        responseOwner(ResponseMetadata(stated.toList(), signed, notRun = false, load = null), requestId)
 }
--- a/corneltrack-world/src/main/kotlin/corneltrack/world/routing/EndpointEntry.kt
+++ b/corneltrack-world/src/main/kotlin/corneltrack/world/routing/EndpointEntry.kt
@@ -12,6 +12,7 @@
  * @property sequence the number of the record since the process started.
  * @property concurrency the number of requests that the endpoint runs at once.
  * @property coldStartRemainingMs the remaining time of the cold start when the record was published, in ms.
+ * @property version the version of the endpoint's software; empty if the record does not state it.
  */
 public data class EndpointEntry(
     val endpoint: Endpoint,
@@ -19,6 +20,7 @@
     val sequence: Long,
     val concurrency: Int,
     val coldStartRemainingMs: Long,
+    val version: String = "",
 ) {
     /** Whether the endpoint accepts new requests. */
     val live: Boolean get() = endpoint.state == MemberState.LIVE
