Check a configuration before it is sent, and show what differs

Operators had no way to see that a configuration cannot be read, that a route never matches or that limits contradict each other before a router met it. corneltrackctl configuration check reads a file with the routers' own decoder and prints findings and the differences from the version in force; it needs no settings and no connection.

--- a/corneltrack-control/src/main/kotlin/corneltrack/control/ExitCode.kt
+++ b/corneltrack-control/src/main/kotlin/corneltrack/control/ExitCode.kt
@@ -8,6 +8,9 @@
     /** The platform was unavailable; nothing was changed. */
     UNAVAILABLE(CODE_UNAVAILABLE),
 
+    /** The checked configuration has errors. */
+    FINDINGS(CODE_FINDINGS),
+
     /** The command, its settings or a value is invalid; nothing was changed. */
     USAGE(CODE_USAGE),
 
@@ -23,6 +26,7 @@
 
 private const val CODE_DONE = 0
 private const val CODE_UNAVAILABLE = 1
+private const val CODE_FINDINGS = 1
 private const val CODE_USAGE = 2
 private const val CODE_LOST_RACE = 3
 private const val CODE_UNKNOWN = 4
--- a/corneltrack-control/src/main/kotlin/corneltrack/control/Main.kt
+++ b/corneltrack-control/src/main/kotlin/corneltrack/control/Main.kt
@@ -32,8 +32,11 @@
     val timeout by parser.option(ArgType.Int, "in-force-timeout-ms", description = "Time to wait for routers, in ms")
         .default(DEFAULT_IN_FORCE_TIMEOUT_MS)
     val commands = allCommands()
+    val check = CheckConfigurationCommand()
     commands.forEach { parser.subcommands(it) }
+    parser.subcommands(ConfigurationCommand(check))
     parser.parse(arguments)
+    if (check.selected) return check.run(output, ::println)
     val command = commands.firstOrNull { it.selected }
         ?: throw CommandException(ExitCode.USAGE, "No command given; 'corneltrackctl --help' lists the commands.")
     val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
