Send changed records of topics from the polling router to its peers

Each change of an endpoint made every router of the region read the store, and each expiry of its history made every router load all. The polling router now sends the records that changed its state with its watermark, where the region has more than 8 routers and a part of the product that needs it is switched on; peers that have read up to the range take them instead of reading. The next offset of a router that does not poll now follows the watermarks over heartbeats, so that it does not fall behind the store's history. Reads of the store are counted by cause. Elsewhere calls and datagrams stay as they are.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerDigest.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerDigest.kt
@@ -70,6 +70,7 @@
  * @property answered suspected parts of prompts that have been answered since.
  * @property router how loaded the router itself is; null in digests of routers that do not report it.
  * @property watermarks how far the router has read each topic of the store, by topic name.
+ * @property records the records that belong to [watermarks]; null in digests of routers that share none.
  */
 @Serializable
 internal data class PeerDigest(
@@ -81,6 +82,7 @@
     val crashes: List<CrashReport> = emptyList(),
     val answered: List<PartAnswered> = emptyList(),
     val router: RouterDigest? = null,
+    val records: SharedRecords? = null,
 ) {
     val carriesLoad: Boolean
         get() = suspicions.isEmpty() && watermarks.isEmpty() && crashes.isEmpty() && answered.isEmpty()
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
@@ -37,6 +37,9 @@
  * a router that reads fewer goes by old digests, and in the end by itself alone.
  */
 private const val DATAGRAMS_PER_ITERATION = 512
+
+/** The routers of a region up to which each of them reads the changes of the store's topics. */
+private const val MAXIMUM_READING_ROUTERS = 8
 private val PEER_POLL_TIMING = PollTiming(waitMs = 10_000, delayMs = 500)
 private val logger = LogManager.getLogger("corneltrack.router.relay.PeerExchange")
 internal val peerJson: Json = Json { ignoreUnknownKeys = true }
@@ -47,12 +50,14 @@
  * @property load the load of this router and, from digests, of its peers.
  * @property partSuspects the parts of prompts under which endpoints crash.
  * @property followers returns the followers of all topics but that of the peers.
+ * @property sharing determines whether the routers of the region send each other the records of topics.
  * @property routerLoad returns how loaded this router is.
  */
 internal class SharedState(
     val load: FleetLoad,
     val partSuspects: PartSuspects,
     val followers: () -> List<TopicFollower>,
+    val sharing: RecordSharing = RecordSharing(),
     val routerLoad: () -> RouterDigest,
 )
 
@@ -76,8 +81,8 @@
     private val load = shared.load
     private val peerLoads = PeerLoads(load)
     private val peers = PeerTable(settings)
-    private val follower =
-        TopicFollower(FollowedTopic("peers", topic, PEER_POLL_TIMING), loop, clock, ::rank, peers::onRecord)
+    private val followed = FollowedTopic("peers", topic, PEER_POLL_TIMING)
+    private val follower = TopicFollower(followed, loop, clock, ::rank, shared.sharing, peers::onRecord)
     private val watermarks = WatermarkExchange(clock) { shared.followers() + follower }
     private val sender = DigestSender(settings.id, shared)
     private var digestNumber = 0L
@@ -85,6 +90,9 @@
     /** The number of peers that have announced themselves in the store. */
     val known: Int get() = peers.all.size
 
+    /** Whether the region has so many routers that reading each change at each of them costs more than sending it. */
+    val isRegionLarge: Boolean get() = peers.inRegion.size + 1 > MAXIMUM_READING_ROUTERS
+
     /** Binds the UDP socket, announces this router in the store and follows the announcements of the others. */
     fun start() {
         sender.channel = Bootstrap().group(loop).channel(NioDatagramChannel::class.java)
@@ -128,8 +136,7 @@
 
     private fun onTick() {
         sender.sendDueLoads(peers.recipients(digestNumber++), clock().monotonicMs)
-        val due = watermarks.due()
-        if (due.isNotEmpty()) sender.send(PeerDigest(settings.id.value, watermarks = due), peers.inRegion)
+        watermarks.dueDigests(settings.id.value).forEach { sender.send(it, peers.inRegion) }
         shared.partSuspects.dueReports(settings.id.value)?.let { sender.send(it, peers.all) }
     }
 
@@ -138,7 +145,7 @@
         val nowMs = clock().monotonicMs
         peers.onDigest(peer, digest.router, nowMs)
         digest.suspicions.forEach(onSuspicion)
-        watermarks.onPeer(digest.watermarks)
+        watermarks.onPeer(digest.watermarks, digest.records?.takeIf { peers.isInRegion(peer) })
         shared.partSuspects.onPeer(digest)
         if (digest.carriesLoad) peerLoads.onDigest(peer, digest, nowMs)
     }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerTable.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerTable.kt
@@ -50,6 +50,9 @@
     /** The known peers of this region. */
     val inRegion: Collection<PeerRecord> get() = peers.values.filter { it.isInRegion() }
 
+    /** Whether [peer] is a known router of this region. */
+    fun isInRegion(peer: InstanceId): Boolean = peers[peer]?.isInRegion() ?: false
+
     /** The known peers of this data centre. */
     val inDataCentre: RecipientGroup
         get() = RecipientGroup(peers.values.filter { it.dataCentre == settings.dataCentre.value }, cycle = 1)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RecordDeduplicator.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RecordDeduplicator.kt
@@ -21,12 +21,15 @@
     var lastChangeEnd: Long = 0
         private set
 
-    /** Passes on [record] unless it or a later one of the same key has been passed on. */
-    fun accept(record: KeyedRecord) {
+    /**
+     * Passes on [record] unless it or a later one of the same key has been passed on. Returns whether it changed any
+     * state.
+     */
+    fun accept(record: KeyedRecord): Boolean {
         val last = offsets[record.key]
-        if (last != null && record.offset <= last) return
+        if (last != null && record.offset <= last) return false
         if (record.value == null) offsets.remove(record.key) else offsets[record.key] = record.offset
-        if (handle(record)) lastChangeEnd = maxOf(lastChangeEnd, record.offset + 1)
+        return handle(record).also { if (it) lastChangeEnd = maxOf(lastChangeEnd, record.offset + 1) }
     }
 
     /** A record that its handler fails on must not end the following of all others. */
@@ -39,9 +42,11 @@
         false
     }
 
-    /** Passes on a removal for each key that is not in [keys] and whose last record is before offset [end]. */
-    fun retain(keys: Set<String>, end: Long) {
-        offsets.filter { (key, offset) -> key !in keys && offset < end }.keys.toList()
-            .forEach { accept(KeyedRecord(it, null, end - 1)) }
-    }
+    /**
+     * Passes on a removal for each key that is not in [keys] and whose last record is before offset [end]. Returns
+     * those that changed any state.
+     */
+    fun retain(keys: Set<String>, end: Long): List<KeyedRecord> =
+        offsets.filter { (key, offset) -> key !in keys && offset < end }.keys
+            .map { KeyedRecord(it, null, end - 1) }.filter(::accept)
 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
@@ -58,12 +58,19 @@
     private val clock: Clocks = { ClockReading(monotonicClock(), wallClock()) }
     private val metrics = RelayMetrics()
     private val load = FleetLoad(EndpointStates(LeavingEndpoints(::onLeaving), PausedEndpoints(PauseRecorder(metrics))))
-    private val routingState = RoutingState(source, settings.bounds, loop, clock, { peers.rank() }, ::onTable)
+    private val storeReads = StoreReadRecorder(metrics.registry)
+    private val sharing = RecordSharing(
+        { sharesRecords() && peers.isRegionLarge },
+        storeReads::onStoreCall,
+        storeReads::onRecordsTaken,
+    )
+    private val routingState =
+        RoutingState(source, settings.bounds, loop, clock, RegionRole({ peers.rank() }, sharing), ::onTable)
     private val suspects = CrashSuspects(wallClock) { peers.share(it) }
     private val partSuspects = PartSuspects(wallClock)
     private val eventLoopLag = EventLoopLag(LAG_SAMPLE_INTERVAL_MS)
     private val rotation = RotationControl(settings.id, eventLoopLag, { peers.rotationPeers() }) { peers.shareLoad() }
-    private val shared = SharedState(load, partSuspects, { routingState.followers }) {
+    private val shared = SharedState(load, partSuspects, { routingState.followers }, sharing) {
         RouterDigest(eventLoopLag.lagMs(monotonicClock()), rotation.inRotation)
     }
     private val peers: PeerExchange =
@@ -172,6 +179,9 @@
         readiness.close()
     }
 
+    /** Whether a part of the product is in use under which the store's topics change often. */
+    private fun sharesRecords() = settings.features.rollouts || settings.features.contention
+
     private fun sampleLag() {
         val nowMs = monotonicClock()
         eventLoopLag.onTick(nowMs)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RoutingState.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RoutingState.kt
@@ -57,7 +57,7 @@
  *
  * Only used on the event loop.
  *
- * @param rank returns how many live routers of the region come before this one in the order of polling the store.
+ * @param role the part of this router in reading the store for its region.
  * @param onTable called with each newer routing table.
  */
 internal class RoutingState(
@@ -65,21 +65,24 @@
     private val bounds: RelayBounds,
     loop: EventLoop,
     private val clock: Clocks,
-    rank: () -> Int,
+    role: RegionRole,
     private val onTable: (RoutingTable) -> Unit,
 ) {
     private val operatorFollower = TopicFollower(
         FollowedTopic("operator", source.operator, OPERATOR_POLL_TIMING),
         loop,
         clock,
-        rank,
+        role.rank,
+        // A configuration may be larger than a datagram, so that each router reads these records from the store.
+        role.sharing.disabled(),
         ::onOperatorRecord,
     )
     private val endpointFollower = TopicFollower(
         FollowedTopic("endpoints", source.endpoints, ENDPOINT_POLL_TIMING),
         loop,
         clock,
-        rank,
+        role.rank,
+        role.sharing,
         ::onEndpointRecord,
     )
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicFollower.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicFollower.kt
@@ -4,9 +4,7 @@
 import corneltrack.policy.discovery.Clocks
 import corneltrack.policy.discovery.TopicWatermark
 import corneltrack.policy.discovery.takeoverAgeMs
-import corneltrack.wire.event
 import io.netty.channel.EventLoop
-import org.apache.logging.log4j.LogManager
 import java.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
 
@@ -15,7 +13,19 @@
 
 /** With more missed records, loading the newest record of each key costs less than reading all missed ones. */
 private const val MAXIMUM_CATCH_UP_RECORDS = 200L
-private val logger = LogManager.getLogger("corneltrack.router.relay.TopicFollower")
+
+/**
+ * The time that a router waits for the records of an announced change before it reads them from the store, in ms.
+ * Longer than the interval of the watermarks, which carry them again.
+ */
+private const val CATCH_UP_WAIT_MS = 400L
+
+/** By how much longer each further router of the region waits, in ms, so that one reads and sends what it has read. */
+private const val CATCH_UP_STAGGER_MS = 100L
+private const val MAXIMUM_CATCH_UP_STAGGER = 5
+
+/** How long a router sends its peers the records of a change that it read although it does not poll, in ms. */
+private const val CATCH_UP_SHARED_MS = 1_000L
 
 /**
  * Configures how a topic is polled.
@@ -40,7 +50,8 @@
  *
  * To limit the calls to the store, only the first live router of a region (rank 0) polls at [PollTiming] and sends its
  * watermark to its peers. The others read when a watermark announces a change, or take over the polling when watermarks
- * are overdue.
+ * are overdue. With [RecordSharing] the polling router also sends the changed records, and the others read only what
+ * they miss after a while.
  *
  * @param rank returns how many live routers of the region come before this one in the order of polling.
  * @param onRecord handles a record, whose value is null if its key was removed. Returns whether it changed any state; a
@@ -51,15 +62,17 @@
     private val loop: EventLoop,
     private val clock: Clocks,
     private val rank: () -> Int,
+    private val sharing: RecordSharing = RecordSharing(),
     onRecord: (KeyedRecord) -> Boolean,
 ) {
-    private val topic = followed.topic
     private val timing = followed.timing
-    private val deduplicator = RecordDeduplicator(onRecord)
-    private val availability = StoreAvailability(followed.name, clock)
+    private val copy = TopicCopy(clock, onRecord)
+    private val reader: TopicReader = TopicReader(followed, loop, clock, copy, sharing.onStoreCall, ::onOutcome)
+
+    private val missed = MissedChanges()
 
-    /** Whether a watermark announced a change that this router has not read yet. */
-    private var catchUpNeeded = false
+    /** Until when this router sends watermarks although it does not poll, in ms of the monotonic clock. */
+    private var sharedUntilMs = Long.MIN_VALUE
 
     /** Whether this router polls the store; it then sends watermarks even if its rank is not 0. */
     private var polling = false
@@ -68,9 +81,6 @@
     private var awaitingPeer = false
     private var takeoverCheck: ScheduledFuture<*>? = null
 
-    /** The offset from which to read on. */
-    private var nextOffset = 0L
-
     /** Identifies the topic in logs and in watermarks. */
     val name: String = followed.name
 
@@ -78,126 +88,113 @@
      * The latest time at which the store is known to have had no record newer than those read here; null before the
      * first complete read. Established by a read of this router or by a peer's watermark.
      */
-    var asOf: ClockReading? = null
-        private set
+    val asOf: ClockReading? get() = copy.asOf
 
     /** The time since [asOf], in ms; null before the first complete read. */
     val ageMs: Long? get() = asOf?.let { clock().since(it) }
 
     /** When the store last recovered from an outage, in ms of the monotonic clock; null if no outage was seen. */
-    val storeRecoveredMs: Long? get() = availability.recoveredMs
+    val storeRecoveredMs: Long? get() = reader.availability.recoveredMs
+
+    /** Whether this router sends records with its watermarks and takes them from peers. */
+    val sharesRecords: Boolean get() = sharing.enabled()
+
+    /** The age of the copy at which this router polls although a peer is expected to. */
+    private val isOverdue: Boolean
+        get() = (ageMs ?: Long.MAX_VALUE) >= takeoverAgeMs(timing.waitMs + timing.delayMs, rank())
 
     /** Loads the newest record of each key and follows the topic from there. */
-    fun start(): Unit = loadPage(null, FullLoad(clock(), HashSet()))
+    fun start(): Unit = reader.load(StoreCallCause.START)
 
     /** Returns how far this router has read the topic, or null if it relies on a polling peer. */
     fun watermark(): TopicWatermark? {
-        val known = asOf?.takeIf { polling || rank() == 0 } ?: return null
         val now = clock()
+        val known = asOf?.takeIf { polling || rank() == 0 || now.monotonicMs < sharedUntilMs } ?: return null
         val recoveredAgeMs = storeRecoveredMs?.let { now.monotonicMs - it }
         return TopicWatermark(
-            nextOffset,
-            deduplicator.lastChangeEnd,
+            copy.nextOffset,
+            if (sharesRecords) copy.sharedChangeEnd else copy.lastChangeEnd,
             now.since(known),
             known.wallClockMs,
             recoveredAgeMs,
         )
     }
 
+    /** The records to send to peers with the watermark. */
+    val batches: List<RecordBatch> get() = if (sharesRecords) copy.batches() else emptyList()
+
     /**
      * Updates the age of the cached state from a peer's [watermark], or reads the records of a change that it
      * announces: at once, or after the read in progress.
+     *
+     * @param records what the peer sent with it, or null if the peer or this router does not share records. A router
+     *   that misses a change then waits for it a while before it reads.
      */
-    fun onWatermark(watermark: TopicWatermark) {
+    fun onWatermark(watermark: TopicWatermark, records: SharedRecords? = null) {
         val current = asOf ?: return
         val now = clock()
         val peerAsOf = watermark.asOf(now)
-        availability.onPeer(peerAsOf, watermark.storeRecoveredAgeMs?.let { now.monotonicMs - it })
+        reader.availability.onPeer(peerAsOf, watermark.storeRecoveredAgeMs?.let { now.monotonicMs - it })
+        if (records != null && !reader.loading) take(watermark, records)
         when {
-            watermark.lastChangeEnd > nextOffset -> {
-                catchUpNeeded = true
-                if (awaitingPeer) {
-                    awaitingPeer = false
-                    takeoverCheck?.cancel(false)
-                    if (watermark.nextOffset - nextOffset > MAXIMUM_CATCH_UP_RECORDS) start() else read(0)
-                }
-            }
+            watermark.lastChangeEnd > copy.nextOffset -> onMissedChange(watermark, records != null)
             // The peer has read the topic more recently, so it is the one that polls.
             now.since(peerAsOf) < now.since(current) -> {
-                asOf = peerAsOf
+                copy.asOf = peerAsOf
                 polling = false
             }
         }
     }
 
-    /**
-     * A load of the newest record of each key, in pages.
-     *
-     * @property seenKeys the keys loaded so far; known keys that are missing at the end have been removed.
-     */
-    private class FullLoad(val startedAt: ClockReading, val seenKeys: MutableSet<String>) {
-        /** The end of the topic at the first page: later records may have been left out and are read afterwards. */
-        var resumeOffset: Long? = null
+    private fun take(watermark: TopicWatermark, records: SharedRecords) {
+        val batch = records.batch?.takeIf { records.topic == name && it.end <= watermark.nextOffset }
+        val taken = batch?.let(copy::take) ?: 0
+        if (taken > 0) sharing.onRecordsTaken(name, taken)
+        copy.skipHeartbeats(watermark)
+        missed.onProgress(copy.nextOffset)
     }
 
-    private fun loadPage(after: String?, load: FullLoad) {
-        topic.newest(after, availability.timeoutMs) { response ->
-            when {
-                response !is TopicResponse.Newest -> onFailure(response) { start() }
-                response.end >= nextOffset -> onPage(response, load)
-                // The end of a topic never goes back, so that the page belongs to another call.
-                else -> onFailure(TopicResponse.Unavailable("a page that ends at ${response.end}")) { start() }
-            }
+    private fun onMissedChange(watermark: TopicWatermark, shared: Boolean) {
+        missed.add(watermark)
+        if (!awaitingPeer || (shared && missed.dueMs != null)) return
+        awaitingPeer = false
+        takeoverCheck?.cancel(false)
+        if (shared) {
+            val stagger = CATCH_UP_STAGGER_MS * (rank() - 1).coerceIn(0, MAXIMUM_CATCH_UP_STAGGER)
+            missed.dueMs = clock().monotonicMs + CATCH_UP_WAIT_MS + stagger
+            scheduleNextRead()
+        } else {
+            catchUp()
         }
     }
 
-    private fun onPage(page: TopicResponse.Newest, load: FullLoad) {
-        availability.onResponse()
-        if (load.resumeOffset == null) load.resumeOffset = page.end
-        page.records.forEach {
-            load.seenKeys += it.key
-            deduplicator.accept(it)
-        }
-        val next = page.next
-        if (next != null) {
-            loadPage(next, load)
-            return
+    private fun catchUp() {
+        if (missed.topicEnd - copy.nextOffset > MAXIMUM_CATCH_UP_RECORDS) {
+            reader.load(StoreCallCause.RELOAD)
+        } else {
+            reader.read(0, StoreCallCause.ANNOUNCED)
         }
-        val resumeOffset = load.resumeOffset ?: page.end
-        deduplicator.retain(load.seenKeys, resumeOffset)
-        nextOffset = resumeOffset
-        asOf = load.startedAt
-        availability.onLoaded()
-        read(timing.waitMs)
     }
 
-    private fun read(waitMs: Long) {
-        val sentAt = clock()
-        topic.read(nextOffset, waitMs, availability.timeoutMs) { response ->
-            when (response) {
-                is TopicResponse.Records -> onRecords(response, sentAt, waitMs)
-                TopicResponse.Expired -> {
-                    logger.event("topic_expired") { field("topic", name) }
-                    availability.onResponse()
-                    start()
-                }
-                else -> onFailure(response) { read(waitMs) }
-            }
+    private fun onOutcome(outcome: ReadOutcome): Unit = when (outcome) {
+        is ReadOutcome.Loaded -> {
+            // A single page shows the state at its end, so that the next regular read is soon enough.
+            val upToDate = sharesRecords && outcome.load.pages == 1
+            if (upToDate) onUpToDate() else reader.read(timing.waitMs, StoreCallCause.FOLLOW_UP)
+        }
+        is ReadOutcome.ReachedEnd -> {
+            copy.asOf = outcome.asOf
+            onUpToDate()
+        }
+        is ReadOutcome.RetryDue -> {
+            val upToDate = sharesRecords && rank() != 0 && missed.isEmpty && !isOverdue
+            if (upToDate) scheduleNextRead() else reader.read(outcome.waitMs, StoreCallCause.RETRY)
         }
     }
 
-    private fun onRecords(page: TopicResponse.Records, sentAt: ClockReading, waitMs: Long) {
-        availability.onResponse()
-        page.records.forEach(deduplicator::accept)
-        nextOffset = page.next
-        if (nextOffset < page.end) {
-            read(waitMs)
-            return
-        }
-        // An empty response to a long poll shows that there was no record until the end of the wait.
-        val waitedMs = if (page.records.isEmpty()) minOf(waitMs, clock().monotonicMs - sentAt.monotonicMs) else 0
-        asOf = sentAt.plus(waitedMs)
-        catchUpNeeded = false
+    private fun onUpToDate() {
+        if (!missed.isEmpty && sharesRecords) sharedUntilMs = clock().monotonicMs + CATCH_UP_SHARED_MS
+        missed.clear()
         scheduleNextRead()
     }
 
@@ -205,11 +202,12 @@
     private fun scheduleNextRead() {
         if (rank() == 0) {
             polling = true
-            loop.after(timing.delayMs) { read(timing.waitMs) }
+            loop.after(timing.delayMs) { reader.read(timing.waitMs, StoreCallCause.POLL) }
         } else {
             awaitingPeer = true
             // Even with rank 0 this router would not take over earlier, so the check need not run before.
-            val dueMs = takeoverAgeMs(timing.waitMs + timing.delayMs, rank = 0) - (ageMs ?: Long.MAX_VALUE)
+            val takeoverMs = takeoverAgeMs(timing.waitMs + timing.delayMs, rank = 0) - (ageMs ?: Long.MAX_VALUE)
+            val dueMs = minOf(takeoverMs, missed.dueMs?.let { it - clock().monotonicMs } ?: Long.MAX_VALUE)
             takeoverCheck =
                 loop.schedule(::checkTakeover, maxOf(MINIMUM_CHECK_INTERVAL_MS, dueMs), TimeUnit.MILLISECONDS)
         }
@@ -217,14 +215,15 @@
 
     private fun checkTakeover() {
         awaitingPeer = false
-        val overdue = (ageMs ?: Long.MAX_VALUE) >= takeoverAgeMs(timing.waitMs + timing.delayMs, rank())
-        if (overdue) polling = true
-        if (overdue || catchUpNeeded) read(0) else scheduleNextRead()
-    }
-
-    private fun onFailure(response: TopicResponse, retry: () -> Unit) {
-        val reason = (response as? TopicResponse.Unavailable)?.reason ?: "unexpected response"
-        loop.after(availability.onFailure(reason, ageMs), retry)
+        val nowMs = clock().monotonicMs
+        when {
+            isOverdue -> {
+                polling = true
+                reader.read(0, StoreCallCause.TAKEOVER)
+            }
+            missed.isDue(nowMs) -> catchUp()
+            else -> scheduleNextRead()
+        }
     }
 }
 
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicReader.kt
@@ -0,0 +1,117 @@
+package corneltrack.router.relay
+
+import corneltrack.policy.discovery.ClockReading
+import corneltrack.policy.discovery.Clocks
+import corneltrack.wire.event
+import io.netty.channel.EventLoop
+import org.apache.logging.log4j.LogManager
+import java.util.concurrent.TimeUnit
+
+// Keeps the name of the class that wrote these lines before, which appears as logger=.
+private val logger = LogManager.getLogger("corneltrack.router.relay.TopicFollower")
+
+/** What came of reading a topic. */
+internal sealed interface ReadOutcome {
+    /** All records have been loaded. */
+    class Loaded(val load: TopicLoad) : ReadOutcome
+
+    /** The records up to the end of the topic have been read; none was newer at [asOf]. */
+    class ReachedEnd(val asOf: ClockReading) : ReadOutcome
+
+    /** A read failed, and the delay before it may be repeated is over. */
+    class RetryDue(val waitMs: Long) : ReadOutcome
+}
+
+/**
+ * Reads a topic of the store into [copy] and repeats failed calls after a while.
+ *
+ * @property availability whether the store responds.
+ * @param onOutcome called once for each [load] or [read].
+ */
+internal class TopicReader(
+    private val followed: FollowedTopic,
+    private val loop: EventLoop,
+    private val clock: Clocks,
+    private val copy: TopicCopy,
+    private val onStoreCall: (String, StoreCallCause) -> Unit,
+    private val onOutcome: (ReadOutcome) -> Unit,
+) {
+    private val topic = followed.topic
+    val availability = StoreAvailability(followed.name, clock)
+
+    /** Whether a load is in progress, during which the copy must not change otherwise. */
+    var loading = false
+        private set
+
+    /** Loads the newest record of each key. */
+    fun load(cause: StoreCallCause) {
+        loading = true
+        loadPage(null, copy.beginLoad(), cause)
+    }
+
+    private fun loadPage(after: String?, load: TopicLoad, cause: StoreCallCause) {
+        onStoreCall(followed.name, cause)
+        topic.newest(after, availability.timeoutMs) { response ->
+            when {
+                response !is TopicResponse.Newest -> reload(response, load)
+                response.end >= copy.nextOffset -> onPage(response, load, cause)
+                // The end of a topic never goes back, so that the page belongs to another call.
+                else -> reload(TopicResponse.Unavailable("a page that ends at ${response.end}"), load)
+            }
+        }
+    }
+
+    private fun reload(response: TopicResponse, load: TopicLoad) = onFailure(response) {
+        load.restart(clock())
+        loadPage(null, load, StoreCallCause.RETRY)
+    }
+
+    private fun onPage(page: TopicResponse.Newest, load: TopicLoad, cause: StoreCallCause) {
+        availability.onResponse()
+        copy.load(page, load)
+        val next = page.next
+        if (next != null) {
+            loadPage(next, load, cause)
+            return
+        }
+        copy.finish(load)
+        loading = false
+        availability.onLoaded()
+        onOutcome(ReadOutcome.Loaded(load))
+    }
+
+    /** Reads the records from the copy's next offset to the end of the topic. */
+    fun read(waitMs: Long, cause: StoreCallCause) {
+        val sentAt = clock()
+        onStoreCall(followed.name, cause)
+        topic.read(copy.nextOffset, waitMs, availability.timeoutMs) { response ->
+            when (response) {
+                is TopicResponse.Records -> onRecords(response, sentAt, waitMs)
+                TopicResponse.Expired -> {
+                    logger.event("topic_expired") { field("topic", followed.name) }
+                    availability.onResponse()
+                    load(StoreCallCause.RELOAD)
+                }
+                else -> onFailure(response) { onOutcome(ReadOutcome.RetryDue(waitMs)) }
+            }
+        }
+    }
+
+    private fun onRecords(page: TopicResponse.Records, sentAt: ClockReading, waitMs: Long) {
+        availability.onResponse()
+        copy.read(page)
+        if (copy.nextOffset < page.end) {
+            read(waitMs, StoreCallCause.FOLLOW_UP)
+            return
+        }
+        // An empty response to a long poll shows that there was no record until the end of the wait.
+        val waitedMs = if (page.records.isEmpty()) minOf(waitMs, clock().monotonicMs - sentAt.monotonicMs) else 0
+        onOutcome(ReadOutcome.ReachedEnd(sentAt.plus(waitedMs)))
+    }
+
+    private fun onFailure(response: TopicResponse, retry: () -> Unit) {
+        val reason = (response as? TopicResponse.Unavailable)?.reason ?: "unexpected response"
+        val delayMs = availability.onFailure(reason, copy.asOf?.let { clock().since(it) })
+        loop.schedule(retry, delayMs, TimeUnit.MILLISECONDS)
+    }
+}
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/WatermarkExchange.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/WatermarkExchange.kt
@@ -18,8 +18,22 @@
     private var sentMs = 0L
     private var sentChanges: Map<String, Long> = emptyMap()
 
-    /** Returns the watermarks to send now by topic name: all of them after a change or periodically, else none. */
-    fun due(): Map<String, TopicWatermark> {
+    /**
+     * Returns the digests of [sender] to send now: after a change or periodically one with all watermarks, or one for
+     * each batch of records if this router shares them, else none.
+     */
+    fun dueDigests(sender: String): List<PeerDigest> {
+        val due = due()
+        if (due.isEmpty()) return emptyList()
+        val sharing = followers().filter { it.sharesRecords }
+        val records = sharing.filter { it.name in due }.flatMap { topic ->
+            topic.batches.map { SharedRecords(topic.name, it) }
+        }
+        val sent = records.ifEmpty { listOf(if (sharing.isEmpty()) null else SharedRecords()) }
+        return sent.map { PeerDigest(sender, watermarks = due, records = it) }
+    }
+
+    private fun due(): Map<String, TopicWatermark> {
         val now = clock()
         suspensions.isSettled(now)
         val watermarks = followers().mapNotNull { topic -> topic.watermark()?.let { topic.name to it } }.toMap()
@@ -30,9 +44,15 @@
         return watermarks
     }
 
-    /** Applies a peer's [watermarks], by topic name. */
-    fun onPeer(watermarks: Map<String, TopicWatermark>) {
+    /**
+     * Applies a peer's [watermarks], by topic name.
+     *
+     * @param records what the peer sent with them, or null if it shares no records or is not listed in the region.
+     */
+    fun onPeer(watermarks: Map<String, TopicWatermark>, records: SharedRecords? = null) {
         if (watermarks.isEmpty() || !suspensions.isSettled(clock())) return
-        followers().forEach { topic -> watermarks[topic.name]?.let(topic::onWatermark) }
+        followers().forEach { topic ->
+            watermarks[topic.name]?.let { topic.onWatermark(it, records.takeIf { topic.sharesRecords }) }
+        }
     }
 }
