Test the sharing of records and count the store's calls by cause

A simulated region of routers with a store that expires its history and a network that loses, repeats and reorders datagrams shows that no record is lost or moved back and that no state claims to be fresher than it is.

--- /dev/null
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RegionSimulation.kt
@@ -0,0 +1,212 @@
+package corneltrack.router.relay
+
+import corneltrack.policy.discovery.ClockReading
+import corneltrack.wire.wireProtobuf
+import io.netty.channel.embedded.EmbeddedChannel
+import kotlinx.serialization.decodeFromByteArray
+import kotlinx.serialization.encodeToByteArray
+import java.util.concurrent.TimeUnit
+import kotlin.random.Random
+import kotlin.test.assertTrue
+
+private const val STEP_MS = 10L
+private const val TICK_MS = 100L
+private const val HEARTBEAT_MS = 1_000L
+private const val SILENCE_MS = 1_500L
+private const val MAXIMUM_READING_ROUTERS = 8
+private const val MAXIMUM_DELAY_MS = 30
+private const val MAXIMUM_DATAGRAM_BYTES = 16_384
+
+/** How the simulated network treats datagrams. */
+internal data class Network(val lossRate: Double = 0.0, val repetitionRate: Double = 0.0, val delayMs: Int = 2)
+
+internal val UNRELIABLE = Network(lossRate = 0.2, repetitionRate = 0.2, delayMs = MAXIMUM_DELAY_MS)
+
+/** A call to the store, or the announcement of a router. */
+internal data class StoreCall(val topic: String, val cause: String)
+
+/**
+ * Simulates the routers of a region that follow the store's topics and send each other datagrams.
+ *
+ * Checks all the time that no router's state claims to be fresher than it is.
+ */
+internal class RegionSimulation(
+    count: Int,
+    private val shares: Boolean,
+    private val network: Network = Network(),
+    private val endpoints: Int = 20,
+    seed: Int = 1,
+) {
+    private class Datagram(val dueMs: Long, val to: Int, val bytes: ByteArray)
+
+    private val random = Random(seed)
+    private val channel = EmbeddedChannel().apply { freezeTime() }
+    private val datagrams = ArrayList<Datagram>()
+    private val logs =
+        listOf("operator", "endpoints", "peers").associateWith { SimulatedLog(channel.eventLoop(), ::nowMs) }
+    private var incarnations = 0
+    var nowMs = 50_000L
+        private set
+
+    /** Called before each step of the clock. */
+    var onStep: () -> Unit = {}
+
+    /** Called with each datagram to a router; returns those to deliver in its place. */
+    var intercept: (to: Int, ByteArray) -> List<ByteArray> = { _, bytes -> listOf(bytes) }
+    val calls = HashMap<StoreCall, Int>()
+    var largestDatagram = 0
+
+    /** The bytes of the datagrams that routers sent with watermarks. */
+    var sentBytes = 0L
+    val endpointLog = logs.getValue("endpoints")
+    val peerLog = logs.getValue("peers")
+
+    /** The calls of all routers to read the topics. */
+    val reads: Int get() = logs.values.sumOf { it.calls }
+
+    /** The records that routers took from peers. */
+    var taken = 0
+
+    inner class Router(val index: Int) {
+        val id = "router-${(index + 10)}"
+        var access = StoreAccess.SERVED
+        val running get() = access == StoreAccess.SERVED || access == StoreAccess.REFUSED
+        var lastSentMs = nowMs
+        val states = logs.mapValues { HashMap<String, String>() }
+        private val sharing = RecordSharing(
+            { shares && states.getValue("peers").size > MAXIMUM_READING_ROUTERS },
+            { topic, cause -> if (access != StoreAccess.ENDED) count(StoreCall(topic, cause.name)) },
+            { _, records -> taken += records },
+        )
+        val followers = listOf(
+            follower("operator", PollTiming(waitMs = 1_500, delayMs = 0), sharing.disabled()),
+            follower("endpoints", PollTiming(waitMs = 0, delayMs = 1_000), sharing),
+            follower("peers", PollTiming(waitMs = 10_000, delayMs = 500), sharing),
+        )
+        val exchange = WatermarkExchange(::reading) { followers }
+
+        fun follower(name: String) = followers.first { it.name == name }
+
+        private fun follower(name: String, timing: PollTiming, sharing: RecordSharing): TopicFollower {
+            val topic = logs.getValue(name).topic { access }
+            val followed = FollowedTopic(name, topic, timing)
+            return TopicFollower(followed, channel.eventLoop(), ::reading, ::rank, sharing) { record ->
+                val known = states.getValue(name)
+                val state = record.value?.let { String(it).substringBefore(' ') }
+                val previous = if (state == null) known.remove(record.key) else known.put(record.key, state)
+                previous != state
+            }
+        }
+
+        private fun rank() = routers.count { it.index < index && nowMs - it.lastSentMs < SILENCE_MS }
+
+        fun tick() {
+            lastSentMs = nowMs
+            exchange.dueDigests(id).forEach { digest ->
+                val bytes = wireProtobuf.encodeToByteArray(digest)
+                largestDatagram = maxOf(largestDatagram, bytes.size)
+                sentBytes += bytes.size * (routers.size - 1L)
+                routers.filter { it.index != index }.forEach { send(it.index, bytes) }
+            }
+        }
+
+        fun onDatagram(bytes: ByteArray) {
+            val digest = wireProtobuf.decodeFromByteArray<PeerDigest>(bytes)
+            val listed = digest.sender in states.getValue("peers")
+            exchange.onPeer(digest.watermarks, digest.records?.takeIf { listed })
+        }
+
+        fun start() {
+            followers.forEach { it.start() }
+            peerLog.put(id, "here${incarnations++}")
+            count(StoreCall("peers", "ANNOUNCEMENT"))
+        }
+    }
+
+    val routers: MutableList<Router> = ArrayList()
+
+    init {
+        logs.getValue("operator").put("table", "one")
+        repeat(endpoints) { endpointLog.put("endpoint-$it", "ready") }
+        repeat(count) { routers += Router(it) }
+        routers.forEach { it.start() }
+        advance(15_000)
+        calls.clear()
+        sentBytes = 0
+        logs.values.forEach { it.calls = 0 }
+        taken = 0
+    }
+
+    private fun count(call: StoreCall) {
+        calls[call] = (calls[call] ?: 0) + 1
+    }
+
+    fun restart(index: Int) {
+        routers[index].access = StoreAccess.ENDED
+        routers[index] = Router(index).also { it.start() }
+    }
+
+    fun setUnavailable(unavailable: Boolean) = logs.values.forEach { it.unavailable = unavailable }
+
+    fun change(key: String, state: String?) = endpointLog.put(key, state)
+
+    fun advance(spanMs: Long) {
+        repeat((spanMs / STEP_MS).toInt()) {
+            nowMs += STEP_MS
+            onStep()
+            beat()
+            channel.advanceTimeBy(STEP_MS, TimeUnit.MILLISECONDS)
+            channel.runScheduledPendingTasks()
+            logs.values.forEach { it.advance() }
+            deliver()
+            routers.filter { it.running && (nowMs + it.index * STEP_MS) % TICK_MS == 0L }.forEach { it.tick() }
+            if (nowMs % TICK_MS == 0L) checkAges()
+        }
+    }
+
+    private fun beat() = repeat(endpoints) { endpoint ->
+        val key = "endpoint-$endpoint"
+        val due = (nowMs + endpoint * HEARTBEAT_MS / endpoints / STEP_MS * STEP_MS) % HEARTBEAT_MS == 0L
+        val state = endpointLog.history.getValue(key).last().state
+        if (due && state != null && !endpointLog.unavailable) endpointLog.put(key, state)
+    }
+
+    private fun send(to: Int, bytes: ByteArray) = intercept(to, bytes).forEach { sent ->
+        val copies = if (random.nextDouble() < network.repetitionRate) 2 else 1
+        repeat(copies) {
+            val lost = random.nextDouble() < network.lossRate
+            if (!lost) datagrams += Datagram(nowMs + 1 + random.nextInt(network.delayMs), to, sent)
+        }
+    }
+
+    private fun deliver() {
+        val due = datagrams.filter { it.dueMs <= nowMs }.sortedBy { it.dueMs }
+        datagrams.removeAll(due.toSet())
+        due.forEach { datagram -> routers[datagram.to].takeIf { it.running }?.onDatagram(datagram.bytes) }
+    }
+
+    private fun reading() = ClockReading(nowMs, nowMs)
+
+    /** Each key must have a state that it had at or after the time as of which the router says it knows all. */
+    private fun checkAges() = routers.filter { it.running }.forEach { router ->
+        val asOfMs = router.follower("endpoints").asOf?.monotonicMs ?: return@forEach
+        endpointLog.history.forEach { (key, history) ->
+            val state = router.states.getValue("endpoints")[key]
+            val allowed = history.since(asOfMs)
+            assertTrue(state in allowed, "${router.id} at $nowMs as of $asOfMs: $key is $state, not one of $allowed")
+        }
+    }
+
+    /** Checks that all routers have the states of the store. */
+    fun assertConverged() = assertTrue(differences().isEmpty(), differences().joinToString())
+
+    /** Returns what routers that run do not know yet. */
+    fun differences(): List<String> = routers.filter { it.running }.flatMap { router ->
+        val states = router.states.getValue("endpoints")
+        endpointLog.history.filter { (key, history) -> states[key] != history.last().state }
+            .map { (key, history) -> "${router.id}: $key is ${states[key]}, not ${history.last().state}" }
+    }
+
+    /** Checks that no datagram was too large. */
+    fun assertDatagramsFit() = assertTrue(largestDatagram <= MAXIMUM_DATAGRAM_BYTES, "$largestDatagram bytes")
+}
