--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayFixture.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayFixture.kt
@@ -51,6 +51,7 @@
     bounds: RelayBounds = RelayBounds(),
     private val timeoutMs: Long = 5_000,
     private val maximumBodyBytes: Int = 1_000_000,
+    features: RelayFeatures = RelayFeatures(),
 ) : AutoCloseable {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val operator = FakeTopic(group.next())
@@ -68,6 +69,7 @@
         readinessPath = "/ready",
         peers = HostAndPort("127.0.0.1", ports[2]),
         bounds = bounds,
+        features = features,
     )
     private var table = table(1)
     private val source = RoutingSource(
