Choose among unequal endpoints by what old reports are worth, and explore untried ones

Change: untried endpoints start from the pool's mean and get a bounded share of explored requests. Where endpoints state their pace, the better of two random ones is chosen, or one with an idle connection that is about as fast; pace and load count by their measured autocorrelation at the report's age. Engine speeds are merged with those of peers by samples.

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/EngineLoad.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/EngineLoad.kt
@@ -15,6 +15,10 @@
 private const val DECODE_SMOOTHING = 0.02
 private const val PAUSE_SMOOTHING = 0.25
 
+/** The samples that the averages stand for. */
+private const val PREFILL_SAMPLES = 12
+private const val DECODE_SAMPLES = 50
+
 /** The time for which an observed pause counts as recent, in ms. */
 private const val PAUSE_TTL_MS = 800L
 
@@ -76,9 +80,12 @@
  * Estimates the load of one engine from the requests that this router sent and those that its peers report.
  *
  * The estimates serve to predict when a further prompt gets its first event and its last. The prefill and decode speeds
- * are moving averages over the observed responses. Not thread-safe.
+ * are moving averages over the observed responses. Where the engines of the pool state their pace, they are merged with
+ * what peers have learnt and start from the pool's mean. Not thread-safe.
+ *
+ * @param pool what is known of the speeds of the pool's engines.
  */
-public class EngineLoad {
+public class EngineLoad(private val pool: PoolSpeeds = PoolSpeeds()) {
     private data class PeerLoad(val summary: LoadSummary, val reportedMs: Long)
 
     private val peers = HashMap<InstanceId, PeerLoad>()
@@ -90,13 +97,31 @@
     private var pauseMs = 0.0
     private var pauseUpdatedMs = Long.MIN_VALUE / 2
 
+    private val prefill = LearntSpeed(INITIAL_PREFILL_MS_PER_TOKEN, 0)
+    private val decode = LearntSpeed(INITIAL_DECODE_MS_PER_TOKEN, 0)
+    private val sharedPrefill = SharedSpeed(pool.prefill, prefill)
+    private val sharedDecode = SharedSpeed(pool.decode, decode)
+
     /** The estimated prefill time of one prompt token, in ms. */
-    public var prefillMsPerToken: Double = INITIAL_PREFILL_MS_PER_TOKEN
-        private set
+    public val prefillMsPerToken: Double get() = sharedPrefill.value.takeIf { pool.shared } ?: prefill.value
 
     /** The estimated time between two generated tokens of one stream, in ms. */
-    public var decodeMsPerToken: Double = INITIAL_DECODE_MS_PER_TOKEN
-        private set
+    public val decodeMsPerToken: Double get() = sharedDecode.value.takeIf { pool.shared } ?: decode.value
+
+    /** What this router itself has learnt of the engine's speed. */
+    public val ownSpeeds: EngineSpeeds get() = EngineSpeeds(prefill, decode)
+
+    /** Records what [peer] has learnt of the engine's speed. */
+    public fun onPeerSpeeds(peer: InstanceId, speeds: EngineSpeeds, nowMs: Long) {
+        sharedPrefill.onPeer(peer, speeds.prefill, nowMs)
+        sharedDecode.onPeer(peer, speeds.decode, nowMs)
+    }
+
+    /** Removes the engine, which is gone or has restarted, from the pool's mean speeds. */
+    public fun leavePool() {
+        sharedPrefill.forget()
+        sharedDecode.forget()
+    }
 
     /** The requests that this router has in flight. */
     public val ownLoad: LoadSummary get() = LoadSummary(pendingPrefillTokens, running, kvCacheTokens)
@@ -145,13 +170,13 @@
         if (tokens >= MINIMUM_SAMPLE_TOKENS) {
             val sample = (elapsedMs - FIRST_EVENT_OVERHEAD_MS).coerceAtLeast(0.0) / tokens
             val bounded = sample.coerceIn(MINIMUM_PREFILL_MS_PER_TOKEN, MAXIMUM_PREFILL_MS_PER_TOKEN)
-            prefillMsPerToken += PREFILL_SMOOTHING * (bounded - prefillMsPerToken)
+            sharedPrefill.onSample(bounded, pool.weight(prefill, PREFILL_SMOOTHING), PREFILL_SAMPLES)
         }
     }
 
     /** Records a later event of a stream, which carries [tokens] tokens and came [sinceLastMs] after the last event. */
     public fun onEvent(sinceLastMs: Long, tokens: Int, nowMs: Long) {
-        decodeMsPerToken += DECODE_SMOOTHING * (sinceLastMs.toDouble() / tokens - decodeMsPerToken)
+        sharedDecode.onSample(sinceLastMs.toDouble() / tokens, pool.weight(decode, DECODE_SMOOTHING), DECODE_SAMPLES)
         val stale = nowMs - pauseUpdatedMs > PAUSE_TTL_MS
         pauseMs = if (stale) sinceLastMs.toDouble() else pauseMs + PAUSE_SMOOTHING * (sinceLastMs - pauseMs)
         pauseUpdatedMs = nowMs
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/LearntSpeed.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/LearntSpeed.kt
@@ -12,15 +12,12 @@
     public var samples: Int = samples
         private set
 
-    /** Records a sample with a weight of [smoothing] at least; the first sample replaces the start value. */
-    internal fun onSample(sample: Double, smoothing: Double, maximumSamples: Int) {
-        value += maxOf(smoothing, 1.0 / (samples + 1)) * (sample - value)
+    /** Records a sample with a weight of [weight]; the average stands for no more than [maximumSamples]. */
+    internal fun onSample(sample: Double, weight: Double, maximumSamples: Int) {
+        value += weight * (sample - value)
         samples = minOf(maximumSamples, samples + 1)
     }
-}
 
-/** Returns the mean of [speeds], weighed by their samples, or null if there are no samples. */
-internal fun mergedSpeed(speeds: Collection<LearntSpeed>): Double? {
-    val samples = speeds.sumOf { it.samples }
-    return if (samples == 0) null else speeds.sumOf { it.value * it.samples } / samples
+    /** Returns the weight of the next sample: [smoothing], or more if there are few; the first replaces the start. */
+    internal fun nextWeight(smoothing: Double): Double = maxOf(smoothing, 1.0 / (samples + 1))
 }
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/PacedLoad.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/PacedLoad.kt
@@ -16,8 +16,9 @@
  * @property active the requests, running or queued, from all routers.
  * @property pace how long work takes, as a multiple of the usual time.
  * @property observedMs when the response came.
+ * @property slots the requests that it runs at once, or null if not stated.
  */
-public data class PaceReport(val active: Int, val pace: Double, val observedMs: Long)
+public data class PaceReport(val active: Int, val pace: Double, val observedMs: Long, val slots: Int? = null)
 
 /** Holds what the paces and loads of all endpoints of a pool have in common. */
 public class PoolReports {
@@ -26,6 +27,9 @@
 
     /** What a stated number of requests is worth by its age. */
     public val loads: ReportCorrelation = ReportCorrelation()
+
+    /** The mean service time, from which an endpoint without samples starts. */
+    internal val serviceTimes: PoolMean = PoolMean()
 }
 
 /**
@@ -34,9 +38,9 @@
  * Not thread-safe.
  */
 public class PacedLoad(pool: PoolReports = PoolReports()) {
-    private val peers = HashMap<InstanceId, LearntSpeed>()
     private val others = ReportedFigure(0.0, pool.loads)
     private val own = LearntSpeed(0.0, 0)
+    private val serviceTime = SharedSpeed(pool.serviceTimes, own)
 
     /** The pace, as a multiple of the usual time of work. */
     public val pace: ReportedFigure = ReportedFigure(1.0, pool.paces)
@@ -48,8 +52,11 @@
     /** What this router itself has learnt of the time that a request takes at a pace of 1, in ms. */
     public val ownServiceTime: LearntSpeed get() = own
 
-    /** What this router and its peers have learnt of the time that a request takes at a pace of 1; null for nothing. */
-    public val serviceTimeMs: Double? get() = mergedSpeed(peers.values + own)
+    /**
+     * What this router and its peers have learnt of the time that a request takes at a pace of 1, in ms. The mean of
+     * the pool for an endpoint without samples, null for a pool without any.
+     */
+    public val serviceTimeMs: Double? get() = serviceTime.value
 
     /** Records a report that came with a response to this router, which has [running] requests there. */
     public fun onOwnReport(report: PaceReport, running: Int) {
@@ -58,22 +65,25 @@
         onReport(bounded, running)
     }
 
-    /** Records a report that [peer] received, and the [serviceTime] that it has learnt. */
-    public fun onPeer(peer: InstanceId, report: PaceReport, serviceTime: LearntSpeed, running: Int) {
-        peers[peer] = serviceTime
+    /** Records a report that [peer] received, and the service time that it has [learnt]. */
+    public fun onPeer(peer: InstanceId, report: PaceReport, learnt: LearntSpeed, running: Int) {
+        serviceTime.onPeer(peer, learnt, report.observedMs)
         onReport(report.copy(pace = report.pace.coerceIn(MINIMUM_PACE, MAXIMUM_PACE)), running)
     }
 
     /** Records a response that took the endpoint [elapsedMs], as the last own report of the endpoint explains it. */
-    public fun onResponse(elapsedMs: Long, concurrency: Int) {
+    public fun onResponse(elapsedMs: Long) {
         val report = ownReport ?: return
-        val rounds = maxOf(1.0, report.active.toDouble() / concurrency)
-        own.onSample(elapsedMs / (report.pace * rounds), SMOOTHING, MAXIMUM_SAMPLES)
+        val rounds = if (report.slots == null) 1.0 else maxOf(1.0, report.active.toDouble() / maxOf(1, report.slots))
+        serviceTime.onSample(elapsedMs / (report.pace * rounds), own.nextWeight(SMOOTHING), MAXIMUM_SAMPLES)
     }
 
     /** Returns the requests of other routers that are expected to run or wait at the endpoint. */
     public fun othersAt(nowMs: Long): Double = maxOf(0.0, others.at(nowMs))
 
+    /** Removes the endpoint, which is gone or has restarted, from the pool's mean. */
+    public fun leavePool(): Unit = serviceTime.forget()
+
     private fun onReport(report: PaceReport, running: Int) {
         val newer = pace.onReport(report.pace, report.observedMs)
         if (newer) others.onReport(maxOf(0, report.active - running).toDouble(), report.observedMs)
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/ReportCorrelation.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/ReportCorrelation.kt
@@ -2,14 +2,14 @@
 
 /** The lag up to which reports fall into the first class, in ms; each further class covers twice the lag. */
 private const val FIRST_LAG_MS = 25L
-private const val LAG_CLASSES = 6
+private const val LAG_CLASSES = 7
 
 /** The age above which a report says nothing, in ms. */
-internal const val MAXIMUM_REPORT_AGE_MS: Long = 1_000
+public const val MAXIMUM_REPORT_AGE_MS: Long = 1_000
 
 /**
- * What the evidence of a lag is divided by in addition, in pairs of the average square: a few pairs that agree by chance
- * do not give a report weight.
+ * What the evidence of a lag is divided by in addition, in pairs of the average square: a few pairs that agree by
+ * chance do not give a report weight.
  */
 private const val PRIOR_PAIRS = 10.0
 
@@ -35,10 +35,15 @@
         pairs[lagClass] = pairs[lagClass] * PAIR_RETENTION + 1
     }
 
-    /** Returns the part, 0 to 1, of a report's deviation from the mean that is left when it is [ageMs] old. */
-    public fun worth(ageMs: Long): Double {
-        val lagClass = lagClass(ageMs)
-        if (ageMs > MAXIMUM_REPORT_AGE_MS || lagClass >= LAG_CLASSES || squares[lagClass] <= 0) return 0.0
+    /**
+     * Returns the part, 0 to 1, of a report's deviation from the mean that is left when it is [ageMs] old. A report
+     * that is younger than any pair tells is worth what an older one is.
+     */
+    public fun worth(ageMs: Long): Double =
+        if (ageMs > MAXIMUM_REPORT_AGE_MS) 0.0 else (lagClass(ageMs) until LAG_CLASSES).maxOfOrNull(::worthOf) ?: 0.0
+
+    private fun worthOf(lagClass: Int): Double {
+        if (squares[lagClass] <= 0) return 0.0
         val prior = PRIOR_PAIRS * squares[lagClass] / pairs[lagClass]
         return (products[lagClass] / (squares[lagClass] + prior)).coerceIn(0.0, 1.0)
     }
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/ReportedFigure.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/ReportedFigure.kt
@@ -9,12 +9,13 @@
 private const val MAXIMUM_WEIGHT_MS = 1_000.0
 private const val START_WEIGHT_MS = 100.0
 
-/** The earlier reports that a new one is compared with. */
-private const val COMPARED_REPORTS = 4
+/** How many earlier reports a new one is compared with, and how far they are apart, in ms; they cover a second. */
+private const val COMPARED_REPORTS = 10
+private const val COMPARED_SPACING_MS = 100L
 
 /**
- * Estimates a figure that an endpoint reports now and then, such as its pace: the last report, of which the less is left
- * the older it is, and the long-run mean. Not thread-safe.
+ * Estimates a figure that an endpoint reports now and then, such as its pace: the last report, of which the less is
+ * left the older it is, and the long-run mean. Not thread-safe.
  *
  * @param start the mean assumed before the first report.
  * @param correlation what a report is worth by its age.
@@ -22,7 +23,8 @@
 public class ReportedFigure(start: Double, private val correlation: ReportCorrelation) {
     private data class Report(val value: Double, val observedMs: Long)
 
-    private val reports = ArrayDeque<Report>()
+    private var last: Report? = null
+    private val compared = ArrayDeque<Report>()
     private var weightMs = START_WEIGHT_MS
 
     /** The long-run mean. */
@@ -30,27 +32,38 @@
         private set
 
     /** Whether there has been a report. */
-    public val known: Boolean get() = reports.isNotEmpty()
+    public val known: Boolean get() = last != null
 
     /** Records a report; ignores one that is older than the last. Returns whether it is newer. */
     public fun onReport(value: Double, observedMs: Long): Boolean {
-        val previousMs = reports.lastOrNull()?.observedMs
+        val previousMs = last?.observedMs
         if (previousMs != null && observedMs <= previousMs) return false
         val gapMs = minOf(MAXIMUM_WEIGHT_MS, (observedMs - (previousMs ?: (observedMs - 1))).toDouble())
         weightMs = weightMs * exp(-gapMs / MEAN_TIME_CONSTANT_MS) + gapMs
         mean += (value - mean) * gapMs / weightMs
-        reports.forEach { correlation.onPair(it.value - mean, value - mean, observedMs - it.observedMs) }
-        reports.addLast(Report(value, observedMs))
-        if (reports.size > COMPARED_REPORTS) reports.removeFirst()
+        compare(Report(value, observedMs))
         return true
     }
 
+    private fun compare(report: Report) {
+        last?.let { correlation.onPair(it.value - mean, report.value - mean, report.observedMs - it.observedMs) }
+        compared.forEach {
+            if (it !== last) {
+                correlation.onPair(it.value - mean, report.value - mean, report.observedMs - it.observedMs)
+            }
+        }
+        last = report
+        val spaced = compared.lastOrNull()?.let { report.observedMs - it.observedMs >= COMPARED_SPACING_MS } ?: true
+        if (spaced) compared.addLast(report)
+        if (compared.size > COMPARED_REPORTS) compared.removeFirst()
+    }
+
     /** Returns the age of the last report, in ms, or null if there was none. */
-    public fun ageMs(nowMs: Long): Long? = reports.lastOrNull()?.let { maxOf(0, nowMs - it.observedMs) }
+    public fun ageMs(nowMs: Long): Long? = last?.let { maxOf(0, nowMs - it.observedMs) }
 
     /** Returns what the figure is expected to be now. */
     public fun at(nowMs: Long): Double {
-        val last = reports.lastOrNull() ?: return mean
-        return mean + correlation.worth(nowMs - last.observedMs) * (last.value - mean)
+        val report = last ?: return mean
+        return mean + correlation.worth(nowMs - report.observedMs) * (report.value - mean)
     }
 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/EndpointConnections.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/EndpointConnections.kt
@@ -73,6 +73,12 @@
         return usable
     }
 
+    /** Whether an idle connection to [endpoint] was last used within [idleTimeoutMs]. */
+    fun hasIdle(loop: EventLoop, endpoint: Endpoint, nowMs: Long, idleTimeoutMs: Long = this.idleTimeoutMs): Boolean {
+        val lastUsed = idle[Key(loop, endpoint.id, endpoint.address)]?.peekFirst() ?: return false
+        return lastUsed.isActive && nowMs - lastUsed.attr(IDLE_SINCE).get() < idleTimeoutMs
+    }
+
     /** Opens a new connection. */
     fun connect(loop: EventLoop, endpoint: Endpoint, nowMs: Long): ChannelFuture {
         val address = HostAndPort.parse(endpoint.address) ?: HostAndPort("0.0.0.0", 0)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/DigestSender.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/DigestSender.kt
@@ -20,6 +20,9 @@
  */
 private const val STATEMENT_REPORT_MS = 3_000L
 
+/** The engines whose speeds one digest tells; bounds the datagrams of routers that use hundreds of engines at once. */
+private const val MAXIMUM_SPEEDS = 100
+
 /** Sends the digests of router [id] to its peers. Only used on the event loop. */
 internal class DigestSender(private val id: InstanceId, private val shared: SharedState) {
     private val load = shared.load
@@ -71,14 +74,24 @@
 /** Returns the load on each endpoint in use and the prefixes cached since the last digests to [group], by ID. */
 private fun EndpointStates.digests(group: RecipientGroup, nowMs: Long): Map<String, EndpointDigest> {
     val sinceMs = nowMs - PREFIX_REPORT_COPIES * group.cycle * DIGEST_PERIOD_MS
+    var speedsToTell = MAXIMUM_SPEEDS
     return buildMap {
         all().forEach { (id, state) ->
             val prefixes = state.prefixReports.since(sinceMs)
             val limit = state.limit.recentObservation(nowMs, STATEMENT_REPORT_MS)?.toDigest(nowMs)
             val leavingAgeMs = leaving.recentResponseAgeMs(id, state.startedAtMs, nowMs, STATEMENT_REPORT_MS)
             val running = state.engine.ownLoad.running > 0
-            val inUse = running || prefixes.isNotEmpty() || limit != null || leavingAgeMs != null
-            if (inUse) put(id.value, state.toDigest(prefixes).copy(limit = limit, leavingAgeMs = leavingAgeMs))
+            val service = state.serviceDigest(nowMs)
+            val inUse = running || prefixes.isNotEmpty() || limit != null || leavingAgeMs != null || service != null
+            if (inUse) {
+                val speeds = if (speedsToTell > 0) state.speedsDigest() else null
+                if (speeds != null) speedsToTell--
+                val digest = state.toDigest(prefixes)
+                put(
+                    id.value,
+                    digest.copy(limit = limit, leavingAgeMs = leavingAgeMs, service = service, speeds = speeds),
+                )
+            }
         }
     }
 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointAttempt.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointAttempt.kt
@@ -17,15 +17,6 @@
 private const val FIRST_SUCCESS = 200
 private const val FIRST_REDIRECT = 300
 
-/** A pooled connection that turns out to be closed costs an idempotent request only a retry. */
-private const val IDEMPOTENT_MAXIMUM_IDLE_MS = 2_000L
-
-/**
- * Shorter than any idle timeout that an endpoint can declare: a request that must not run twice cannot be retried when
- * the endpoint closes the connection as it is sent.
- */
-private const val AT_MOST_ONCE_MAXIMUM_IDLE_MS = 500L
-
 /** How much of a body that is not delivered, such as that of a refusal, is read before the connection is closed. */
 private const val MAXIMUM_DISCARDED_BYTES = 64 * 1024
 
@@ -78,8 +69,7 @@
 
     /** Sends the request; watches for stalls where another endpoint could resume the stream. */
     fun start() {
-        val maximumIdleMs = if (call.route.idempotent) IDEMPOTENT_MAXIMUM_IDLE_MS else AT_MOST_ONCE_MAXIMUM_IDLE_MS
-        exchange.start(maximumIdleMs, context.nowMs())
+        exchange.start(call.route.maximumIdleMs, context.nowMs())
         if (call.route.resumable && call.route.responseMode == ResponseMode.EVENT_STREAM) checkStallAfter(stallLimitMs)
     }
 
@@ -170,7 +160,7 @@
             val events =
                 code in FIRST_SUCCESS until FIRST_REDIRECT && call.route.responseMode == ResponseMode.EVENT_STREAM
             status = code
-            metadata.load?.let { target.state.service.onReport(it.activeRequests, context.nowMs()) }
+            metadata.load?.let { target.state.onStatedLoad(it, context.nowMs()) }
             val misdirected = code == HttpResponseStatus.MISDIRECTED_REQUEST.code()
             if (!misdirected && (metadata.authentic || metadata.notRun)) {
                 pauseStated = context.onStatement(target, response.status(), metadata)
@@ -230,7 +220,9 @@
 
         private fun onSuccess() {
             if (call.route.responseMode == ResponseMode.COMPLETE) {
-                target.state.service.onResponse(timing.processingMs(context.nowMs()))
+                val elapsedMs = timing.processingMs(context.nowMs())
+                target.state.service.onResponse(elapsedMs)
+                target.state.service.paced.onResponse(elapsedMs, target.concurrency)
             }
             context.onHealthSignal(target, EndpointSignal.GOOD)
             owner.onCompleted(this@EndpointAttempt)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointState.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointState.kt
@@ -10,26 +10,49 @@
 import corneltrack.policy.placement.EngineLoad
 import corneltrack.policy.placement.FairShareTracker
 import corneltrack.policy.placement.Generation
+import corneltrack.policy.placement.PaceReport
+import corneltrack.policy.placement.PoolReports
+import corneltrack.policy.placement.PoolSpeeds
 import corneltrack.policy.placement.PrefixCacheEstimate
 import corneltrack.policy.placement.PrefixReports
 import corneltrack.policy.placement.ServiceLoad
 import corneltrack.policy.placement.TransferSuccess
 import corneltrack.world.EndpointId
+import corneltrack.world.PoolId
 
 private const val COLD_START_WINDOW_MS = 1_100L
 
+/** Holds what this router has learnt of the endpoints of a pool together. */
+internal class PoolLearning {
+    val reports = PoolReports()
+    val speeds = PoolSpeeds()
+}
+
 /**
  * Holds the health, load and prefix cache estimate of one incarnation of an endpoint.
  *
  * @property startedAtMs when the incarnation started, as its record states.
  * @property limit the limit that the endpoint states, which outlasts a restart until the endpoint has answered again.
+ * @property pool what is known of the endpoint's pool.
  */
-internal class EndpointState(val startedAtMs: Long, val limit: EndpointLimitState = EndpointLimitState()) {
+internal class EndpointState(
+    val startedAtMs: Long,
+    val limit: EndpointLimitState = EndpointLimitState(),
+    val pool: PoolLearning = PoolLearning(),
+) {
     val health = EndpointHealth()
-    val engine = EngineLoad()
+    val engine = EngineLoad(pool.speeds)
     val prefixes = PrefixCacheEstimate()
     val prefixReports = PrefixReports()
-    val service = ServiceLoad()
+    val service = ServiceLoad(pool.reports)
+
+    /** Records the load that the endpoint stated with a response. */
+    fun onStatedLoad(stated: StatedLoad, nowMs: Long) {
+        service.onReport(stated.activeRequests, nowMs)
+        val pace = stated.pace ?: return
+        pool.speeds.onPaceStated()
+        service.paced.onOwnReport(PaceReport(stated.activeRequests, pace, nowMs), service.running)
+    }
 
     /** Counts the requests started at the endpoint while it is cold. */
     val coldStarts = SlidingWindowLimiter(COLD_START_WINDOW_MS)
@@ -37,6 +60,12 @@
     /** Counts the requests started at the endpoint against the limit that it states. */
     val limitedStarts = IntervalStarts()
 
+    /** Removes the endpoint, which is gone or has restarted, from what is known of its pool. */
+    fun leavePool() {
+        engine.leavePool()
+        service.paced.leavePool()
+    }
+
     /** Records that the engine has processed the prompt of [generation], as its first event shows. */
     fun onPromptProcessed(generation: Generation, nowMs: Long) =
         prefixReports.add(prefixes.onConfirmed(generation.sharedPrefixes, nowMs), nowMs)
@@ -63,14 +92,17 @@
     val paused: PausedEndpoints = PausedEndpoints(),
 ) {
     private val states = HashMap<EndpointId, EndpointState>()
+    private val pools = HashMap<PoolId, PoolLearning>()
 
     /** Returns the state of [known]; a new one if the endpoint is unknown or has restarted. */
     fun of(known: KnownEndpoint): EndpointState {
         val id = known.entry.endpoint.id
         val current = states[id]
         if (current != null && current.startedAtMs == known.entry.startedAtMs) return current
+        current?.leavePool()
         val limit = current?.limit ?: EndpointLimitState()
-        return EndpointState(known.entry.startedAtMs, limit).also { states[id] = it }
+        val pool = pools.getOrPut(known.entry.endpoint.pool) { PoolLearning() }
+        return EndpointState(known.entry.startedAtMs, limit, pool).also { states[id] = it }
     }
 
     /** Returns whether [known] has said that it leaves. */
@@ -86,7 +118,9 @@
     /** Removes the states of endpoints that are not in [known] and run no request of this router. */
     fun retain(known: Set<EndpointId>) {
         states.entries.removeIf { (id, state) ->
-            id !in known && state.engine.ownLoad.running == 0 && state.service.running == 0
+            val gone = id !in known && state.engine.ownLoad.running == 0 && state.service.running == 0
+            if (gone) state.leavePool()
+            gone
         }
     }
 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerDigest.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerDigest.kt
@@ -20,6 +20,8 @@
  * @property limit the limit that the endpoint has lately stated to the sender, or null if it stated none lately.
  * @property leavingAgeMs the time since a response in which the endpoint told the sender that it leaves, or null if
  *   there was none lately.
+ * @property service what the endpoint, which states its pace, last stated to the sender; null if that is not recent.
+ * @property speeds what the sender has learnt of the engine, if engines of its pool state their pace; null for nothing.
  */
 @Serializable
 internal data class EndpointDigest(
@@ -30,6 +32,37 @@
     @ProtoPacked @ProtoType(ProtoIntegerType.FIXED) val cachedPrefixes: List<Long> = emptyList(),
     val limit: LimitDigest? = null,
     val leavingAgeMs: Long? = null,
+    val service: ServiceDigest? = null,
+    val speeds: SpeedsDigest? = null,
+)
+
+/**
+ * What an endpoint that states its pace last stated to the sender, and what the sender has learnt of it.
+ *
+ * @property active the requests, running or queued, from all routers.
+ * @property pace how long work takes, as a multiple of the usual time.
+ * @property ageMs the time since the endpoint's response.
+ * @property serviceTimeMs the time that a request takes at a pace of 1.
+ * @property samples the responses that [serviceTimeMs] stands for.
+ */
+@Serializable
+internal data class ServiceDigest(
+    val active: Int,
+    val pace: Float,
+    val ageMs: Long,
+    val serviceTimeMs: Float = 0f,
+    val samples: Int = 0,
+)
+
+/**
+ * What the sender alone has learnt of the speed of an engine, in ms a token, and from how many samples.
+ */
+@Serializable
+internal data class SpeedsDigest(
+    val prefillMsPerToken: Float = 0f,
+    val prefillSamples: Int = 0,
+    val decodeMsPerToken: Float = 0f,
+    val decodeSamples: Int = 0,
 )
 
 /**
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerLoads.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerLoads.kt
@@ -34,11 +34,13 @@
         }
     }
 
-    /** Ignores what another incarnation of the endpoint has cached. */
+    /** Ignores what another incarnation of the endpoint has cached and how fast it was. */
     private fun apply(peer: InstanceId, state: EndpointState, digest: EndpointDigest, nowMs: Long) {
         state.engine.onPeer(peer, digest.toSummary(), nowMs)
         digest.limit?.let { state.limit.onPeer(LimitObservation(it.requestsPerSecond, nowMs - it.ageMs)) }
-        if (state.startedAtMs == digest.startedAtMs) state.prefixes.onConfirmed(digest.cachedPrefixes, nowMs)
+        if (state.startedAtMs != digest.startedAtMs) return
+        state.prefixes.onConfirmed(digest.cachedPrefixes, nowMs)
+        state.onPeerPace(peer, digest, nowMs)
     }
 
     private fun stateOf(endpoint: String) = load.states.all()[EndpointId(endpoint)]
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
@@ -17,6 +17,7 @@
 import corneltrack.wire.ControlResponse
 import corneltrack.wire.ControlServer
 import corneltrack.wire.event
+import corneltrack.world.Endpoint
 import corneltrack.world.EndpointId
 import corneltrack.world.routing.RoutingTable
 import io.netty.channel.EventLoop
@@ -69,16 +70,17 @@
     private val peers: PeerExchange =
         PeerExchange(settings, source.peers, loop, clock, shared, suspects::onPeerSuspicion)
     private val unmatchedResponses = UnmatchedResponseRecorder(metrics.registry)
+    private val endpointConnections = EndpointConnections(
+        CONNECT_TIMEOUT_MS,
+        ENDPOINT_MAXIMUM_IDLE_MS,
+        settings.maximumIdleEndpointConnections,
+        { unmatchedResponses.onUnrequestedData(it.id, monotonicClock()) },
+    ) { _, _, _ -> }
     private val context = RelayContext(
         loop,
         headerMapping,
-        EndpointConnections(
-            CONNECT_TIMEOUT_MS,
-            ENDPOINT_MAXIMUM_IDLE_MS,
-            settings.maximumIdleEndpointConnections,
-            { unmatchedResponses.onUnrequestedData(it.id, monotonicClock()) },
-        ) { _, _, _ -> },
-        TargetChooser(settings, routingState, load, clock) { peers.fleetPosition() },
+        endpointConnections,
+        TargetChooser(settings, routingState, load, clock, ::hasIdleConnection) { peers.fleetPosition() },
         RelayEventLog({ routingState.table?.version }, { routingState.endpointAgeMs() }),
         metrics,
         unmatchedResponses,
@@ -191,6 +193,9 @@
         }
     }
 
+    private fun hasIdleConnection(endpoint: Endpoint, nowMs: Long, maximumIdleMs: Long) =
+        endpointConnections.hasIdle(loop, endpoint, nowMs, maximumIdleMs)
+
     private fun onLeaving(endpoint: EndpointId, source: LeavingSource, ageMs: Long) {
         metrics.onLeaving(source)
         logger.event("endpoint_leaving") {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/Target.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/Target.kt
@@ -3,6 +3,7 @@
 import corneltrack.policy.placement.EngineRequest
 import corneltrack.policy.placement.PrefixTransfer
 import corneltrack.world.Endpoint
+import corneltrack.world.routing.Route
 
 /**
  * Holds the expected cost of one attempt.
@@ -25,6 +26,8 @@
  *
  * @property engineRequest the request as counted in the engine's load, or null where the endpoint is not an engine.
  * @property networkDelayMs the part of the time to the first event that the network takes, in ms.
+ * @property concurrency the requests that the endpoint runs at once.
+ * @property explored whether the endpoint was chosen to learn how fast it is.
  * @property prefixSource where the engine may copy the start of the prompt from, or null if it processes all of it.
  */
 internal class Target(
@@ -34,8 +37,23 @@
     val networkDelayMs: Double,
     val expected: ExpectedCost,
     val prefixSource: PrefixSource? = null,
+    val concurrency: Int = 1,
+    val explored: Boolean = false,
 )
 
+/** A pooled connection that turns out to be closed costs an idempotent request only a retry. */
+private const val IDEMPOTENT_MAXIMUM_IDLE_MS = 2_000L
+
+/**
+ * Shorter than any idle timeout that an endpoint can declare: a request that must not run twice cannot be retried when
+ * the endpoint closes the connection as it is sent.
+ */
+private const val AT_MOST_ONCE_MAXIMUM_IDLE_MS = 500L
+
+/** How long a connection may have been idle on which a request of this route is sent, in ms. */
+internal val Route.maximumIdleMs: Long
+    get() = if (idempotent) IDEMPOTENT_MAXIMUM_IDLE_MS else AT_MOST_ONCE_MAXIMUM_IDLE_MS
+
 /** Describes the choice of an endpoint for an attempt. */
 internal sealed interface TargetDecision {
     /** The attempt is sent to [target]. */
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TargetChooser.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TargetChooser.kt
@@ -6,11 +6,17 @@
 import corneltrack.policy.placement.ServiceCandidate
 import corneltrack.policy.placement.ServiceDecision
 import corneltrack.policy.placement.placeServiceRequest
+import corneltrack.world.Endpoint
+import java.util.concurrent.ThreadLocalRandom
+
+/** Whether a connection to the endpoint is idle that was last used within the given time, in ms. */
+internal typealias IdleConnections = (endpoint: Endpoint, nowMs: Long, maximumIdleMs: Long) -> Boolean
 
 /**
  * Chooses the endpoint of each attempt among those that may serve the request and are not ejected. Confined to the
  * event loop.
  *
+ * @param idle tells whether a request needs no new connection to an endpoint.
  * @param fleet returns this router's place among the listed routers, or null while their list has not been read.
  */
 internal class TargetChooser(
@@ -18,6 +24,7 @@
     routingState: RoutingState,
     load: FleetLoad,
     clock: Clocks,
+    private val idle: IdleConnections,
     fleet: () -> FleetPosition?,
 ) {
     private val states = load.states
@@ -48,24 +55,38 @@
     private fun chooseService(call: RelayedCall, eligible: List<KnownEndpoint>, nowMs: Long): TargetDecision {
         val known = eligible.associateBy { it.entry.endpoint.id }
         val timeLeftMs = (call.times.responseDeadlineMs - nowMs).toDouble()
-        return when (val decision = placeServiceRequest(eligible.map { it.candidate() }, timeLeftMs, nowMs)) {
+        val candidates = eligible.map { it.candidate(call, nowMs) }
+        val decision =
+            placeServiceRequest(candidates, timeLeftMs, nowMs) { ThreadLocalRandom.current().nextDouble() }
+        return when (decision) {
             is ServiceDecision.Refused -> TargetDecision.Refused("endpoints have long queues", decision.retryAfterMs)
             is ServiceDecision.Chosen -> {
                 val chosen = known.getValue(decision.candidate.id)
                 val state = endpoints.recordStart(chosen, nowMs)
                 state.service.onSent()
                 val expected = ExpectedCost(decision.responseTimeMs)
-                TargetDecision.Chosen(
-                    Target(chosen.entry.endpoint, state, null, decision.candidate.networkDelayMs, expected),
+                val target = Target(
+                    chosen.entry.endpoint,
+                    state,
+                    null,
+                    decision.candidate.networkDelayMs,
+                    expected,
+                    concurrency = decision.candidate.concurrency,
+                    explored = decision.explored,
                 )
+                TargetDecision.Chosen(target)
             }
         }
     }
 
-    private fun KnownEndpoint.candidate() = ServiceCandidate(
-        id = entry.endpoint.id,
-        load = states.of(this).service,
-        concurrency = maxOf(1, entry.concurrency),
-        networkDelayMs = settings.networkDelayMs(entry.endpoint),
-    )
+    private fun KnownEndpoint.candidate(call: RelayedCall, nowMs: Long): ServiceCandidate {
+        val load = states.of(this).service
+        return ServiceCandidate(
+            id = entry.endpoint.id,
+            load = load,
+            concurrency = maxOf(1, entry.concurrency),
+            networkDelayMs = settings.networkDelayMs(entry.endpoint),
+            connected = load.paced.pace.known && idle(entry.endpoint, nowMs, call.route.maximumIdleMs),
+        )
+    }
 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/WarmUp.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/WarmUp.kt
@@ -65,7 +65,7 @@
 ) {
     private val load = FleetLoad()
     private val shedding = LoadShedding(EventLoopLag(SLICE_INTERVAL_MS), load.shares)
-    private val chooser = TargetChooser(settings, routingState, load, clock) { null }
+    private val chooser = TargetChooser(settings, routingState, load, clock, { _, _, _ -> false }) { null }
     private val connections = CallerConnections()
     private val memory = ResponseMemory()
     private val body = ByteArray(BODY_BYTES)
