--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointAttempt.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointAttempt.kt
@@ -222,7 +222,7 @@
             if (call.route.responseMode == ResponseMode.COMPLETE) {
                 val elapsedMs = timing.processingMs(context.nowMs())
                 target.state.service.onResponse(elapsedMs)
-                target.state.service.paced.onResponse(elapsedMs, target.concurrency)
+                target.state.service.paced.onResponse(elapsedMs)
             }
             context.onHealthSignal(target, EndpointSignal.GOOD)
             owner.onCompleted(this@EndpointAttempt)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointState.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointState.kt
@@ -26,6 +26,9 @@
 internal class PoolLearning {
     val reports = PoolReports()
     val speeds = PoolSpeeds()
+
+    /** The requests that were sent to an endpoint to learn how fast it is. */
+    var exploredRequests = 0L
 }
 
 /**
@@ -50,8 +53,9 @@
     fun onStatedLoad(stated: StatedLoad, nowMs: Long) {
         service.onReport(stated.activeRequests, nowMs)
         val pace = stated.pace ?: return
+        val report = PaceReport(stated.activeRequests, pace, nowMs, stated.slots)
         pool.speeds.onPaceStated()
-        service.paced.onOwnReport(PaceReport(stated.activeRequests, pace, nowMs), service.running)
+        service.paced.onOwnReport(report, service.running)
     }
 
     /** Counts the requests started at the endpoint while it is cold. */
@@ -112,6 +116,9 @@
     fun pauseRemainingMs(known: KnownEndpoint, nowMs: Long): Long =
         paused.remainingMs(known.entry.endpoint.id, known.entry.startedAtMs, nowMs)
 
+    /** The requests that were sent to an endpoint to learn how fast it is. */
+    val exploredRequests: Long get() = pools.values.sumOf { it.exploredRequests }
+
     /** Returns the states of all endpoints. */
     fun all(): Map<EndpointId, EndpointState> = states
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PaceDigests.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PaceDigests.kt
@@ -11,9 +11,9 @@
 
 /** Returns what the endpoint last stated of its pace to this router; null if that is not recent, and for engines. */
 internal fun EndpointState.serviceDigest(nowMs: Long): ServiceDigest? {
-    val report = service.paced.ownReport?.takeIf { nowMs - it.observedMs <= MAXIMUM_REPORT_AGE_MS } ?: return null
     val learnt = service.paced.ownServiceTime
-    if (learnt.samples == 0) return null
+    val report = service.paced.ownReport
+    if (report == null || learnt.samples == 0 || nowMs - report.observedMs > MAXIMUM_REPORT_AGE_MS) return null
     return ServiceDigest(
         report.active,
         report.pace.toFloat(),
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayEventLog.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayEventLog.kt
@@ -63,6 +63,7 @@
         field("workspace", call.workspace)
         field("endpoint", target.endpoint.id)
         field("expected_ms", target.expected.waitMs.toLong())
+        paceFields(target, nowMs)
         field("unread_tokens", target.expected.prefillTokens)
         field("missed_tokens", target.expected.missedTokens)
         field("copied_tokens", target.prefixSource?.transfer?.tokens)
@@ -75,6 +76,14 @@
         field("belief_age_ms", endpointAgeMs())
     }
 
+    /** Fields of endpoints that state their pace alone. */
+    private fun LogEvent.paceFields(target: Target, nowMs: Long) {
+        val pace = target.state.service.paced.pace
+        val ageMs = pace.ageMs(nowMs) ?: return
+        field("pace_percent", (pace.at(nowMs) * PERCENT).toLong())
+        field("pace_age_ms", ageMs)
+    }
+
     fun attemptEnded(call: RelayedCall, target: Target, result: RelayAttemptResult) = logger.event("attempt_ended") {
         field("request", call.id)
         field("endpoint", target.endpoint.id)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
@@ -69,6 +69,7 @@
     }
     private val peers: PeerExchange =
         PeerExchange(settings, source.peers, loop, clock, shared, suspects::onPeerSuspicion)
+    private val paceMetrics = PaceMetrics(metrics.registry)
     private val unmatchedResponses = UnmatchedResponseRecorder(metrics.registry)
     private val endpointConnections = EndpointConnections(
         CONNECT_TIMEOUT_MS,
@@ -185,6 +186,7 @@
         try {
             routingState.expire()
             metrics.onHeldBytes(connections.bodyMemory.heldBytes, context.responseMemory.heldBytes)
+            paceMetrics.update(load.states, monotonicClock())
             val endpoints = routingState.directory.endpoints
             load.states.retain(endpoints.keys)
             load.states.paused.endPassed(monotonicClock()) { endpoints[it]?.entry?.startedAtMs }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/Target.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/Target.kt
@@ -26,8 +26,6 @@
  *
  * @property engineRequest the request as counted in the engine's load, or null where the endpoint is not an engine.
  * @property networkDelayMs the part of the time to the first event that the network takes, in ms.
- * @property concurrency the requests that the endpoint runs at once.
- * @property explored whether the endpoint was chosen to learn how fast it is.
  * @property prefixSource where the engine may copy the start of the prompt from, or null if it processes all of it.
  */
 internal class Target(
@@ -37,8 +35,6 @@
     val networkDelayMs: Double,
     val expected: ExpectedCost,
     val prefixSource: PrefixSource? = null,
-    val concurrency: Int = 1,
-    val explored: Boolean = false,
 )
 
 /** A pooled connection that turns out to be closed costs an idempotent request only a retry. */
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TargetChooser.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TargetChooser.kt
@@ -65,16 +65,10 @@
                 val state = endpoints.recordStart(chosen, nowMs)
                 state.service.onSent()
                 val expected = ExpectedCost(decision.responseTimeMs)
-                val target = Target(
-                    chosen.entry.endpoint,
-                    state,
-                    null,
-                    decision.candidate.networkDelayMs,
-                    expected,
-                    concurrency = decision.candidate.concurrency,
-                    explored = decision.explored,
+                if (decision.explored) state.pool.exploredRequests++
+                TargetDecision.Chosen(
+                    Target(chosen.entry.endpoint, state, null, decision.candidate.networkDelayMs, expected),
                 )
-                TargetDecision.Chosen(target)
             }
         }
     }
