--- /dev/null
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/PacedEndpointTest.kt
@@ -0,0 +1,57 @@
+package corneltrack.router.relay
+
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertContains
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+
+private const val REQUESTS = 40
+
+class PacedEndpointTest {
+    private val fixture = RelayFixture()
+
+    @AfterTest
+    fun stop() = fixture.close()
+
+    @Test
+    fun `a request goes to an endpoint with an idle connection where endpoints state their pace`() {
+        val endpoints = pacedEndpoints()
+        fixture.start()
+
+        repeat(REQUESTS) { fixture.call("/many/x", id = "request-$it") }
+
+        val connections = endpoints.sumOf { it.connectionCount }
+        assertTrue(connections <= REQUESTS / 2, "$connections connections for $REQUESTS requests")
+    }
+
+    @Test
+    fun `the pace of an endpoint and its age are exported and the explored requests counted`() {
+        pacedEndpoints()
+        fixture.start()
+
+        repeat(REQUESTS) { fixture.call("/many/x", id = "request-$it") }
+
+        await("the pace to be exported") { "corneltrack_relay_endpoint_pace{" in fixture.metrics() }
+        assertContains(fixture.metrics(), "corneltrack_relay_endpoint_pace_age_seconds{")
+        assertContains(fixture.metrics(), "corneltrack_relay_explored_requests_total")
+    }
+
+    @Test
+    fun `the pace of endpoints that state none is not exported`() {
+        fixture.endpoint("a", "services") { request, socket -> socket.send(signedResponse(request, "done")) }
+        fixture.start()
+
+        fixture.call("/many/x")
+
+        await("the request to be counted") { "corneltrack_relay_requests_total{" in fixture.metrics() }
+        assertFalse("corneltrack_relay_endpoint_pace{" in fixture.metrics())
+    }
+
+    private fun pacedEndpoints() = listOf("a", "b", "c").map { name ->
+        fixture.endpoint(name, "services") { request, socket ->
+            val response = signedResponse(request, "done")
+            socket.send(response.replace("signature: s", "signature: s\r\nload: 1 0 6 1.0"))
+        }
+    }
+}
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayFixture.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayFixture.kt
@@ -298,6 +298,11 @@
     return promptSegments(entries.map { it[0].toLong() }, entries.map { it[1].toInt() })
 }
 
+/** Parses the load that an endpoint states, as RUNNING WAITING SLOTS PACE. */
+private fun testLoad(headers: HttpHeaders): StatedLoad? = headers.get("load")?.split(' ')?.let {
+    StatedLoad(it[0].toInt(), it[1].toInt(), it[2].toInt(), it.getOrNull(3)?.toDouble())
+}
+
 private val testHeaderMapping = HeaderMapping(
     readRequest = { head ->
         val headers = head.headers()
@@ -325,7 +330,7 @@
             headers.getAll("request"),
             headers.contains("signature"),
             headers.contains("not-run"),
-            load = null,
+            load = testLoad(headers),
             parseStatedLimit(headers.get("limit")),
             leaving = headers.contains("leaving"),
             pause = parseStatedPause(headers.getAll("pause")),
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/ScriptedEndpoint.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/ScriptedEndpoint.kt
@@ -35,6 +35,9 @@
 
     /** The connections that the router closed or reset. */
     val closedByPeer = CopyOnWriteArrayList<Socket>()
+
+    /** The connections that the router has opened. */
+    val connectionCount: Int get() = connections.size
     val address: String get() = "127.0.0.1:${server.localPort}"
 
     init {
