--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/Target.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/Target.kt
@@ -3,6 +3,7 @@
 import corneltrack.policy.placement.EngineRequest
 import corneltrack.policy.placement.PrefixTransfer
 import corneltrack.world.Endpoint
+import corneltrack.world.routing.Route
 
 /**
  * Holds the expected cost of one attempt.
@@ -36,11 +37,27 @@
     val prefixSource: PrefixSource? = null,
 )
 
+/** A pooled connection that turns out to be closed costs an idempotent request only a retry. */
+private const val IDEMPOTENT_MAXIMUM_IDLE_MS = 2_000L
+
+/**
+ * Shorter than any idle timeout that an endpoint can declare: a request that must not run twice cannot be retried when
+ * the endpoint closes the connection as it is sent.
+ */
+private const val AT_MOST_ONCE_MAXIMUM_IDLE_MS = 500L
+
+/** How long a connection may have been idle on which a request of this route is sent, in ms. */
+internal val Route.maximumIdleMs: Long
+    get() = if (idempotent) IDEMPOTENT_MAXIMUM_IDLE_MS else AT_MOST_ONCE_MAXIMUM_IDLE_MS
+
 /** Describes the choice of an endpoint for an attempt. */
 internal sealed interface TargetDecision {
     /** The attempt is sent to [target]. */
     data class Chosen(val target: Target) : TargetDecision
 
+    /** All endpoints are expected to be full; the request is decided anew after [retryMs]. */
+    data class Held(val retryMs: Long) : TargetDecision
+
     /**
      * No endpoint can serve the request in time.
      *
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TargetChooser.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TargetChooser.kt
@@ -5,12 +5,22 @@
 import corneltrack.policy.limits.FleetPosition
 import corneltrack.policy.placement.ServiceCandidate
 import corneltrack.policy.placement.ServiceDecision
+import corneltrack.policy.placement.holdsServiceRequest
 import corneltrack.policy.placement.placeServiceRequest
+import corneltrack.world.Endpoint
+import java.util.concurrent.ThreadLocalRandom
+
+/** After how long a held request is decided anew, in ms; a fraction of what most requests of plain services take. */
+private const val HELD_RETRY_MS = 10L
+
+/** Whether a connection to the endpoint is idle that was last used within the given time, in ms. */
+internal typealias IdleConnections = (endpoint: Endpoint, nowMs: Long, maximumIdleMs: Long) -> Boolean
 
 /**
  * Chooses the endpoint of each attempt among those that may serve the request and are not ejected. Confined to the
  * event loop.
  *
+ * @param idle tells whether a request needs no new connection to an endpoint.
  * @param fleet returns this router's place among the listed routers, or null while their list has not been read.
  */
 internal class TargetChooser(
@@ -18,10 +28,12 @@
     routingState: RoutingState,
     load: FleetLoad,
     clock: Clocks,
-    fleet: () -> FleetPosition?,
+    private val idle: IdleConnections,
+    private val fleet: () -> FleetPosition?,
 ) {
     private val states = load.states
     private val endpoints = EligibleEndpoints(settings, routingState, states, clock, fleet)
+    private val held = HeldCalls()
     private val engines = EngineChooser(settings, routingState, load, endpoints)
 
     /** Chooses an endpoint for an attempt of [call] and adds the request to the endpoint's load. */
@@ -48,13 +60,18 @@
     private fun chooseService(call: RelayedCall, eligible: List<KnownEndpoint>, nowMs: Long): TargetDecision {
         val known = eligible.associateBy { it.entry.endpoint.id }
         val timeLeftMs = (call.times.responseDeadlineMs - nowMs).toDouble()
-        return when (val decision = placeServiceRequest(eligible.map { it.candidate() }, timeLeftMs, nowMs)) {
+        val candidates = eligible.map { it.candidate(call, nowMs) }
+        if (held.update(call, mustWait(call, candidates, nowMs))) return TargetDecision.Held(HELD_RETRY_MS)
+        val decision =
+            placeServiceRequest(candidates, timeLeftMs, nowMs) { ThreadLocalRandom.current().nextDouble() }
+        return when (decision) {
             is ServiceDecision.Refused -> TargetDecision.Refused("endpoints have long queues", decision.retryAfterMs)
             is ServiceDecision.Chosen -> {
                 val chosen = known.getValue(decision.candidate.id)
                 val state = endpoints.recordStart(chosen, nowMs)
                 state.service.onSent()
                 val expected = ExpectedCost(decision.responseTimeMs)
+                if (decision.explored) state.pool.exploredRequests++
                 TargetDecision.Chosen(
                     Target(chosen.entry.endpoint, state, null, decision.candidate.networkDelayMs, expected),
                 )
@@ -62,10 +79,26 @@
         }
     }
 
-    private fun KnownEndpoint.candidate() = ServiceCandidate(
-        id = entry.endpoint.id,
-        load = states.of(this).service,
-        concurrency = maxOf(1, entry.concurrency),
-        networkDelayMs = settings.networkDelayMs(entry.endpoint),
-    )
+    /** Whether [call] waits until the endpoints have room; not for a retry, which has taken from the retry budget. */
+    private fun mustWait(call: RelayedCall, candidates: List<ServiceCandidate>, nowMs: Long): Boolean {
+        val routers = fleet()?.routers ?: 1
+        val waitedMs = call.times.earlierWaitMs + nowMs - call.times.arrivedMs
+        return call.attempts == 0 && holdsServiceRequest(candidates, routers, waitedMs, call.route.objectiveMs, nowMs)
+    }
+
+    /** Forgets [call], which has ended while it was held. */
+    fun onHeldEnded(call: RelayedCall) {
+        held.update(call, wait = false)
+    }
+
+    private fun KnownEndpoint.candidate(call: RelayedCall, nowMs: Long): ServiceCandidate {
+        val load = states.of(this).service
+        return ServiceCandidate(
+            id = entry.endpoint.id,
+            load = load,
+            concurrency = maxOf(1, entry.concurrency),
+            networkDelayMs = settings.networkDelayMs(entry.endpoint),
+            connected = load.paced.pace.known && idle(entry.endpoint, nowMs, call.route.maximumIdleMs),
+        )
+    }
 }
