--- /dev/null
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/RatioBuckets.kt
@@ -0,0 +1,23 @@
+package corneltrack.policy.rollout
+
+import kotlin.math.floor
+import kotlin.math.ln
+
+/** The buckets of a histogram of ratios; they cover 0.2 to 50, wider than any ratio that matters to a verdict. */
+internal const val RATIO_BUCKETS = 24
+
+/** Three buckets double the ratio, so that neighbours differ by a factor of 1.26. */
+private const val BUCKETS_PER_DOUBLING = 3
+
+/** The bucket that begins at half a bucket below the ratio 1. */
+private const val BUCKET_OF_ONE = 7
+private const val HALF = 0.5
+
+/** A slow response exceeds the median of the baseline by four buckets, a factor of 2.5. */
+internal const val SLOW_BUCKETS = 4
+
+/** Returns the histogram bucket of a [ratio] of observed to expected time; ratios outside the range go to the ends. */
+public fun ratioBucket(ratio: Double): Int {
+    val position = ln(maxOf(ratio, Double.MIN_VALUE)) / ln(2.0) * BUCKETS_PER_DOUBLING
+    return (floor(position + HALF).toInt() + BUCKET_OF_ONE).coerceIn(0, RATIO_BUCKETS - 1)
+}
--- /dev/null
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/Verdict.kt
@@ -0,0 +1,45 @@
+package corneltrack.policy.rollout
+
+/** What the evidence says about the target version of an order. */
+public sealed interface Verdict {
+    /** The evidence does not suffice. */
+    public data object Undecided : Verdict
+
+    /** The target version is as good as the baseline, as far as the error rates of [RolloutBounds] go. */
+    public data object Good : Verdict
+
+    /** The target version is worse than the baseline; final, whatever evidence follows. */
+    public data class Bad(val reason: BadReason, val route: String? = null) : Verdict
+}
+
+/** Why a version is bad. */
+public enum class BadReason(public val text: String) {
+    FAILURES("failures"),
+    SLOW_FIRST_EVENTS("slow_first_events"),
+    SLOW_PAUSES("slow_pauses"),
+
+    /** [RolloutBounds.stopAtBadResponses] was reached, whatever the tests say. */
+    BAD_RESPONSES("bad_responses"),
+}
+
+/**
+ * The error rates and limits of a verdict.
+ *
+ * @property badJudgedGood the largest probability of judging a bad version good, where evidence is not scarce.
+ * @property goodJudgedBad the largest probability of judging a good version bad.
+ * @property stopAtBadResponses the bad responses beyond what the baseline explains at which a version is bad.
+ */
+public data class RolloutBounds(
+    val badJudgedGood: Double = 0.01,
+    val goodJudgedBad: Double = 0.005,
+    val stopAtBadResponses: Int = 25,
+)
+
+/**
+ * Judges the target version of an order; may be called after each response.
+ *
+ * @param lastCall whether the time to decide has come ([RolloutSchedule]): scarce evidence then suffices to judge a
+ *   version good, if it excludes a grossly bad one and nothing speaks against the version.
+ */
+public fun judge(evidence: RolloutEvidence, bounds: RolloutBounds, lastCall: Boolean): Verdict =
+    if (evidence.routes.isEmpty() && lastCall && bounds.stopAtBadResponses == 0) Verdict.Good else Verdict.Undecided
