Judge a version by sequential tests against the baseline

Likelihood ratios for failures and slow responses, and test martingales over ranks for times, on all routes together and on each, from each time slice to the present. A good verdict excludes 5 of 100 more failures where the pool has enough requests, 20 of 100 where it has not.

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/Verdict.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/Verdict.kt
@@ -8,7 +8,7 @@
     /** The target version is as good as the baseline, as far as the error rates of [RolloutBounds] go. */
     public data object Good : Verdict
 
-    /** The target version is worse than the baseline; final, whatever evidence follows. */
+    /** The target version is worse than the baseline; to be kept by the caller, whatever evidence follows. */
     public data class Bad(val reason: BadReason, val route: String? = null) : Verdict
 }
 
@@ -26,11 +26,13 @@
  * The error rates and limits of a verdict.
  *
  * @property badJudgedGood the largest probability of judging a bad version good, where evidence is not scarce.
+ * @property scarceBadJudgedGood the same for a version with 20 of 100 responses failing, where evidence is scarce.
  * @property goodJudgedBad the largest probability of judging a good version bad.
  * @property stopAtBadResponses the bad responses beyond what the baseline explains at which a version is bad.
  */
 public data class RolloutBounds(
     val badJudgedGood: Double = 0.01,
+    val scarceBadJudgedGood: Double = 0.05,
     val goodJudgedBad: Double = 0.005,
     val stopAtBadResponses: Int = 25,
 )
@@ -38,8 +40,18 @@
 /**
  * Judges the target version of an order; may be called after each response.
  *
- * @param lastCall whether the time to decide has come ([RolloutSchedule]): scarce evidence then suffices to judge a
- *   version good, if it excludes a grossly bad one and nothing speaks against the version.
+ * @param lastCall whether the time to decide has come ([RolloutSchedule.lastCall]): where the pool has too few requests
+ *   for the error rate of [RolloutBounds.badJudgedGood], that of [RolloutBounds.scarceBadJudgedGood] then suffices.
  */
-public fun judge(evidence: RolloutEvidence, bounds: RolloutBounds, lastCall: Boolean): Verdict =
-    if (evidence.routes.isEmpty() && lastCall && bounds.stopAtBadResponses == 0) Verdict.Good else Verdict.Undecided
+public fun judge(evidence: RolloutEvidence, bounds: RolloutBounds, lastCall: Boolean): Verdict {
+    val routes = evidence.routes.mapValues { (_, counters) -> counters.comparisons() }
+    val whole = routes.values.map { it.first() }
+    return when {
+        routes.isEmpty() -> Verdict.Undecided
+        excessBadResponses(whole) >= bounds.stopAtBadResponses -> Verdict.Bad(BadReason.BAD_RESPONSES)
+        else ->
+            badVerdict(routes, bounds)
+                ?: Verdict.Good.takeIf { isGood(routes.values, bounds, lastCall) }
+                ?: Verdict.Undecided
+    }
+}
