--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/BadVerdict.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/BadVerdict.kt
@@ -34,24 +34,39 @@
 /** Keeps a likelihood ratio finite. */
 private const val LARGEST_LOG_RATIO = 100.0
 
-/** A way in which a version may be bad, and its tests of one comparison as logarithms of likelihood ratios. */
-private class Symptom(val reason: BadReason, val tests: (Comparison) -> DoubleArray)
+/**
+ * A way in which a version may be bad.
+ *
+ * @property tests the tests of a comparison, the first argument, as logarithms of likelihood ratios. The second one is
+ *   the comparison from the start: the baseline's rate is at least the one since then. After the shift, the baseline's
+ *   last responses are few, and its failures, which end early, are missing among them.
+ */
+private class Symptom(val reason: BadReason, val tests: (Comparison, Comparison) -> DoubleArray)
 
 private val SYMPTOMS = listOf(
-    Symptom(BadReason.FAILURES) { failureTests(it.failures) },
-    Symptom(BadReason.SLOW_FIRST_EVENTS) {
-        slowTests(it.slowFirstEvents, it.target.firstEvents, it.baseline.firstEvents)
+    Symptom(BadReason.FAILURES) { since, whole -> failureTests(since.failures, whole.failures) },
+    Symptom(BadReason.SLOW_FIRST_EVENTS) { since, whole ->
+        slowTests(since.slowFirstEvents, whole.slowFirstEvents) {
+            slownessLogRatio(since.target.firstEvents, since.baseline.firstEvents, it)
+        }
+    },
+    Symptom(BadReason.SLOW_PAUSES) { since, whole ->
+        slowTests(since.slowPauses, whole.slowPauses) {
+            slownessLogRatio(since.target.pauses, since.baseline.pauses, it)
+        }
     },
-    Symptom(BadReason.SLOW_PAUSES) { slowTests(it.slowPauses, it.target.pauses, it.baseline.pauses) },
 )
 
 /** Returns the bad responses of the target beyond those that the baseline explains on its [routes]. */
 internal fun excessBadResponses(routes: List<Comparison>): Double =
-    excess(routes.map { it.failures }) +
-        maxOf(excess(routes.map { it.slowFirstEvents }), excess(routes.map { it.slowPauses }))
-
-private fun excess(samples: List<Sample>): Double {
-    val expected = samples.sumOf { it.responses * (it.rate + it.rateError) }
+    excess(routes.map { it.failures }, Sample::toleratedFailures) +
+        maxOf(
+            excess(routes.map { it.slowFirstEvents }, Sample::toleratedSlow),
+            excess(routes.map { it.slowPauses }, Sample::toleratedSlow),
+        )
+
+private fun excess(samples: List<Sample>, tolerated: (Sample) -> Double): Double {
+    val expected = samples.sumOf { it.responses * tolerated(it) }
     return maxOf(0.0, samples.sumOf { it.bad } - expected - CHANCE_DEVIATIONS * sqrt(expected))
 }
 
@@ -64,7 +79,7 @@
 internal fun badVerdict(routes: Map<String, List<Comparison>>, bounds: RolloutBounds): Verdict? {
     val threshold = SYMPTOMS.size / bounds.goodJudgedBad
     return SYMPTOMS.firstNotNullOfOrNull { symptom ->
-        val byRoute = routes.mapValues { (_, comparisons) -> comparisons.map(symptom.tests) }
+        val byRoute = routes.mapValues { (_, comparisons) -> comparisons.map { symptom.tests(it, comparisons.first()) } }
         val together = likelihoodRatio(sum(byRoute.values))
         val worst = byRoute.mapValues { likelihoodRatio(it.value) }
         if (HALF * (together + worst.values.average()) < threshold) {
@@ -82,18 +97,21 @@
 private fun likelihoodRatio(slices: List<DoubleArray>): Double =
     slices.sumOf { tests -> tests.sumOf { exp(minOf(it, LARGEST_LOG_RATIO)) } } / slices.sumOf { it.size }
 
-private fun failureTests(sample: Sample): DoubleArray = DoubleArray(FAILURE_INCREASES.size) {
-    sample.logRatio(sample.rate + sample.rateError + TOLERATED_FAILURES, FAILURE_INCREASES[it])
+private fun failureTests(since: Sample, whole: Sample): DoubleArray {
+    val nullRate = maxOf(since.toleratedFailures(), whole.toleratedFailures())
+    return DoubleArray(FAILURE_INCREASES.size) { since.logRatio(nullRate, FAILURE_INCREASES[it]) }
 }
 
-private fun slowTests(sample: Sample, target: IntArray, baseline: IntArray): DoubleArray {
-    if (sample.responses == 0 || sample.baselineResponses == 0) return DoubleArray(SLOW_INCREASES.size + STAKES.size)
-    val nullRate = TOLERATED_SLOW_FACTOR * sample.rate + sample.rateError + TOLERATED_SLOW
+private fun slowTests(since: Sample, whole: Sample, rankTest: (Double) -> Double): DoubleArray {
+    if (since.responses == 0 || since.baselineResponses == 0) return DoubleArray(SLOW_INCREASES.size + STAKES.size)
+    val nullRate = maxOf(since.toleratedSlow(), whole.toleratedSlow())
     return DoubleArray(SLOW_INCREASES.size + STAKES.size) {
-        if (it < SLOW_INCREASES.size) {
-            sample.logRatio(minOf(HALF, nullRate), SLOW_INCREASES[it])
-        } else {
-            slownessLogRatio(target, baseline, STAKES[it - SLOW_INCREASES.size])
-        }
+        val stake = it - SLOW_INCREASES.size
+        if (stake < 0) since.logRatio(nullRate, SLOW_INCREASES[it]) else rankTest(STAKES[stake])
     }
 }
+
+private fun Sample.toleratedFailures(): Double = minOf(HALF, rate + rateError + TOLERATED_FAILURES)
+
+private fun Sample.toleratedSlow(): Double =
+    minOf(HALF, TOLERATED_SLOW_FACTOR * rate + rateError + TOLERATED_SLOW)
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/Comparison.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/Comparison.kt
@@ -52,17 +52,24 @@
      * Returns the logarithm of the likelihood ratio of the target's responses between a rate that is by [increase] of
      * the good ones above [nullRate], and [nullRate].
      */
-    fun logRatio(nullRate: Double, increase: Double): Double = responses * drift(nullRate, increase, bad.toDouble())
-
-    /** Returns what [logRatio] is to be expected if the target's rate is [rate]; negative. */
-    fun expectedLogRatio(increase: Double): Double = responses * drift(rate, increase, responses * rate)
-
-    private fun drift(nullRate: Double, increase: Double, bad: Double): Double {
-        if (responses == 0) return 0.0
-        val share = bad / responses
+    fun logRatio(nullRate: Double, increase: Double): Double {
         val rate = nullRate + increase * (1 - nullRate)
-        return share * ln(rate / nullRate) + (1 - share) * ln((1 - rate) / (1 - nullRate))
+        return bad * ln(rate / nullRate) + (responses - bad) * ln((1 - rate) / (1 - nullRate))
     }
+
+    /** Returns the rate of bad responses if [increase] of the good ones turn bad. */
+    fun increased(increase: Double): Double = rate + increase * (1 - rate)
+
+    /** Returns the mean of the [logRatio] against [rate] if the target's rate is [truth]. */
+    fun expectedLogRatio(increase: Double, truth: Double): Double =
+        responses * (ln(1 - increase) + truth * weight(increase))
+
+    /** Returns the variance of the [logRatio] against [rate] if the target's rate is [truth]. */
+    fun logRatioVariance(increase: Double, truth: Double): Double =
+        responses * truth * (1 - truth) * weight(increase) * weight(increase)
+
+    /** What a bad response adds to the logarithm beyond a good one. */
+    private fun weight(increase: Double): Double = ln(increased(increase) / rate) - ln(1 - increase)
 }
 
 /** Returns the bucket that contains the median; 0 if there are no counts. */
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/RolloutEvidence.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/RolloutEvidence.kt
@@ -66,8 +66,8 @@
     public fun onResponse(response: RolloutResponse, nowMs: Long) {
         val slice = evidenceSlice(nowMs - orderedAtMs, order.durationMs)
         val target = response.version == order.target
-        own.getOrPut(response.route, ::RouteCounters).slice(target, slice).add(response)
-        totals.getOrPut(response.route, ::RouteCounters).slice(target, slice).add(response)
+        own.getOrPut(response.route, ::RouteCounters).add(response, target, slice)
+        totals.getOrPut(response.route, ::RouteCounters).add(response, target, slice)
     }
 
     /** Returns the counters of this router's own responses. */
@@ -97,7 +97,7 @@
         var changed = false
         for (reported in routes) {
             val before = known[reported.route]
-            val larger = before?.largerOf(reported) ?: reported
+            val larger = if (before === reported) before else before?.largerOf(reported) ?: reported
             if (larger != before) {
                 totals.getOrPut(reported.route, ::RouteCounters).addGrowth(before, larger)
                 known[reported.route] = larger
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/RolloutStep.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/RolloutStep.kt
@@ -15,7 +15,8 @@
  * What a peer, or the router itself, says about the shift of an order.
  *
  * @property orderId the order that it knows last.
- * @property phase the phase of it that it knows.
+ * @property phase the phase of it that it knows; [RolloutPhase.ROLLED_BACK] once it has stopped by a verdict, since it
+ *   then sends to the other versions again.
  * @property oldRequests the attempts that it has in flight at endpoints of other versions than the target.
  * @property silentMs the time since the report, in ms; 0 for the router itself.
  */
@@ -53,7 +54,7 @@
 /**
  * The times of a roll-out.
  *
- * @property drainMs the time by which running responses of the pool have usually ended, in ms.
+ * @property drainMs the time by which 999 of 1,000 running responses of the pool have ended, in ms.
  * @property longestResponseMs the longest route timeout of the pool, in ms; a peer that is silent for longer has
  *   nothing in flight.
  */
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/RouteCounters.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/RouteCounters.kt
@@ -5,9 +5,16 @@
     val target: Array<SliceCounters> = Array(EVIDENCE_SLICES) { SliceCounters() }
     val baseline: Array<SliceCounters> = Array(EVIDENCE_SLICES) { SliceCounters() }
 
-    fun slice(target: Boolean, slice: Int): SliceCounters = (if (target) this.target else baseline)[slice]
+    private var cached: RouteEvidence? = null
 
-    fun snapshot(route: String): RouteEvidence = RouteEvidence(route, trimmed(target), trimmed(baseline))
+    fun add(response: RolloutResponse, target: Boolean, slice: Int) {
+        (if (target) this.target else baseline)[slice].add(response)
+        cached = null
+    }
+
+    /** Returns the counts; the same object until a count changes, which lets a receiver skip it. */
+    fun snapshot(route: String): RouteEvidence =
+        cached ?: RouteEvidence(route, trimmed(target), trimmed(baseline)).also { cached = it }
 
     /** Adds what [after] counts beyond [before]. */
     fun addGrowth(before: RouteEvidence?, after: RouteEvidence) {
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/Verdict.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/Verdict.kt
@@ -25,13 +25,15 @@
 /**
  * The error rates and limits of a verdict.
  *
- * @property badJudgedGood the largest probability of judging a bad version good, where evidence is not scarce.
- * @property scarceBadJudgedGood the same for a version with 20 of 100 responses failing, where evidence is scarce.
+ * @property badJudgedGood the largest probability of judging a version good of which 5 of 100 responses fail, or 20 of
+ *   100 on one route, or that is 2.5 times as slow, where the pool has enough requests to tell.
+ * @property scarceBadJudgedGood the largest probability of judging a version good of which 20 of 100 responses fail,
+ *   where the pool has not enough requests for [badJudgedGood].
  * @property goodJudgedBad the largest probability of judging a good version bad.
  * @property stopAtBadResponses the bad responses beyond what the baseline explains at which a version is bad.
  */
 public data class RolloutBounds(
-    val badJudgedGood: Double = 0.01,
+    val badJudgedGood: Double = 0.001,
     val scarceBadJudgedGood: Double = 0.05,
     val goodJudgedBad: Double = 0.005,
     val stopAtBadResponses: Int = 25,
@@ -40,8 +42,7 @@
 /**
  * Judges the target version of an order; may be called after each response.
  *
- * @param lastCall whether the time to decide has come ([RolloutSchedule.lastCall]): where the pool has too few requests
- *   for the error rate of [RolloutBounds.badJudgedGood], that of [RolloutBounds.scarceBadJudgedGood] then suffices.
+ * @param lastCall whether the time to decide has come ([RolloutSchedule.lastCall]); no version is judged good before.
  */
 public fun judge(evidence: RolloutEvidence, bounds: RolloutBounds, lastCall: Boolean): Verdict {
     val routes = evidence.routes.mapValues { (_, counters) -> counters.comparisons() }
@@ -51,7 +52,7 @@
         excessBadResponses(whole) >= bounds.stopAtBadResponses -> Verdict.Bad(BadReason.BAD_RESPONSES)
         else ->
             badVerdict(routes, bounds)
-                ?: Verdict.Good.takeIf { isGood(routes.values, bounds, lastCall) }
+                ?: Verdict.Good.takeIf { lastCall && isGood(routes.values, bounds) }
                 ?: Verdict.Undecided
     }
 }
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/VersionsInForce.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/VersionsInForce.kt
@@ -15,14 +15,23 @@
  * been rolled back already. A status of [RolloutPhase.SHIFTING] makes the target the only version for new requests. A
  * target that is the only listed version of a pool without a status was in force before the order.
  *
+ * @param stopped whether the verdict on [order] is [Verdict.Bad], here or at a peer: until a status ends the order, its
+ *   target then gets no requests.
  * @param listed the versions of the pool's endpoints, without those first listed after the operators' topic was last
  *   read completely.
  * @param order the newest order of the pool, or null if there is none or it was removed.
  * @param status the newest status of the pool, or null if there is none.
  */
-public fun versionsInForce(listed: Set<String>, order: RolloutOrder?, status: RolloutStatus?): VersionsInForce {
-    val regular = regularVersions(listed, order, status)
-    val trial = status?.takeIf { it.phase == RolloutPhase.TRIAL && it.orderId == order?.orderId }?.target
+public fun versionsInForce(
+    listed: Set<String>,
+    order: RolloutOrder?,
+    status: RolloutStatus?,
+    stopped: Boolean,
+): VersionsInForce {
+    val open = status?.takeIf { it.orderId == order?.orderId && !it.phase.ended }
+    val known = if (stopped && open != null) open.copy(phase = RolloutPhase.ROLLED_BACK) else status
+    val regular = regularVersions(listed, order, known)
+    val trial = open?.takeIf { it.phase == RolloutPhase.TRIAL && !stopped }?.target
     return VersionsInForce(regular, trial?.takeUnless { it in regular })
 }
 
