--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/BadVerdict.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/BadVerdict.kt
@@ -31,6 +31,9 @@
 /** The standard deviations by which chance may exceed the baseline's expected bad responses. */
 private const val CHANCE_DEVIATIONS = 3.0
 
+/** The times of the baseline that give ranks a meaning. */
+private const val MINIMUM_BASELINE_TIMES = 20
+
 /** Keeps a likelihood ratio finite. */
 private const val LARGEST_LOG_RATIO = 100.0
 
@@ -79,7 +82,7 @@
 internal fun badVerdict(routes: Map<String, List<Comparison>>, bounds: RolloutBounds): Verdict? {
     val threshold = SYMPTOMS.size / bounds.goodJudgedBad
     return SYMPTOMS.firstNotNullOfOrNull { symptom ->
-        val byRoute = routes.mapValues { (_, comparisons) -> comparisons.map { symptom.tests(it, comparisons.first()) } }
+        val byRoute = routes.mapValues { (_, since) -> since.map { symptom.tests(it, since.first()) } }
         val together = likelihoodRatio(sum(byRoute.values))
         val worst = byRoute.mapValues { likelihoodRatio(it.value) }
         if (HALF * (together + worst.values.average()) < threshold) {
@@ -103,7 +106,9 @@
 }
 
 private fun slowTests(since: Sample, whole: Sample, rankTest: (Double) -> Double): DoubleArray {
-    if (since.responses == 0 || since.baselineResponses == 0) return DoubleArray(SLOW_INCREASES.size + STAKES.size)
+    if (since.responses == 0 || since.baselineResponses < MINIMUM_BASELINE_TIMES) {
+        return DoubleArray(SLOW_INCREASES.size + STAKES.size)
+    }
     val nullRate = maxOf(since.toleratedSlow(), whole.toleratedSlow())
     return DoubleArray(SLOW_INCREASES.size + STAKES.size) {
         val stake = it - SLOW_INCREASES.size
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/Comparison.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/Comparison.kt
@@ -6,6 +6,9 @@
 /** The share of the counts below the median. */
 private const val HALF = 0.5
 
+/** Fewer responses of the baseline, as after the shift, are no measure of times; those of earlier slices then join. */
+private const val MINIMUM_BASELINE = 50
+
 /** The responses of both versions on one route since the start of a time slice. */
 internal class Comparison(val target: SliceCounters, val baseline: SliceCounters) {
     val failures: Sample
@@ -30,7 +33,9 @@
         val later = comparisons.getOrNull(slice + 1)
         comparisons[slice] = Comparison(target[slice].plus(later?.target), baseline[slice].plus(later?.baseline))
     }
-    return comparisons.map { checkNotNull(it) }
+    return comparisons.filterNotNull().runningReduce { longer, shorter ->
+        if (shorter.baseline.responses < MINIMUM_BASELINE) Comparison(shorter.target, longer.baseline) else shorter
+    }
 }
 
 private fun SliceCounters.plus(other: SliceCounters?): SliceCounters = SliceCounters().also {
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/FixedTest.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/FixedTest.kt
@@ -21,6 +21,9 @@
     /** Whether the responses are at least as likely if the version is good. */
     val favoursGood: Boolean get() = logRatio <= 0
 
+    /** Whether the responses are nearer to what is expected of a good version than to no preference. */
+    val resemblesGood: Boolean get() = logRatio <= samples.sumOf { it.expectedLogRatio(increase, it.rate) } / 2
+
     /** Returns whether a version with the increased rate would do as well with at most the allowed probability. */
     fun excludes(rates: ErrorRates): Boolean = logRatio <= limit(rates)
 
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/GoodVerdict.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/GoodVerdict.kt
@@ -41,10 +41,13 @@
                 (it.target.firstEvents.sum() < ENOUGH_TIMES || paceExcluded(listOf(it), rates))
         }
 
-/** The version may not look more like one with 5 of 100 failing than like a good one, and is not grossly bad. */
+/**
+ * Excludes a grossly bad version, and asks for a result like that of a good version where 5 of 100 failing cannot be
+ * excluded: completing a bad version breaks all callers, and rolling back a good one costs its operator another order.
+ */
 private fun isGoodOnScarceEvidence(routes: List<Comparison>, rates: ErrorRates): Boolean =
     failures(routes, EXCLUDED_ROUTE_FAILURES).excludes(rates) &&
-        failures(routes, EXCLUDED_FAILURES).favoursGood &&
+        failures(routes, EXCLUDED_FAILURES).resemblesGood &&
         paceExcluded(routes, rates)
 
 /** A part of the evidence that is too small to exclude anything must at least not speak against the version. */
--- a/corneltrack-policy/src/test/kotlin/corneltrack/policy/rollout/ModelScenario.kt
+++ b/corneltrack-policy/src/test/kotlin/corneltrack/policy/rollout/ModelScenario.kt
@@ -31,7 +31,7 @@
     val endpoints: Int = 24,
     val firstCredit: Boolean = true,
 ) {
-    val text: String get() = "${version.text} | $routers | ${fault.text}"
+    val text: String get() = "${version.text} | $routers | ${fault.text} | $requestsPerSecond"
 }
 
 /** What came of one run; times in ms since the order. */
