Test evidence, verdicts, shares, versions and steps of roll-outs

An order shorter than three responses stays in trial for that long, since no response would be known at its deadline. Counters out of range are ignored, whose histograms would otherwise allocate lists of any length. Where evidence is scarce, completing a bad version counts twice as much as rolling back a good one.

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/EvidenceMerge.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/EvidenceMerge.kt
@@ -1,5 +1,14 @@
 package corneltrack.policy.rollout
 
+/** Returns whether the counters are in the range that this version of the router writes. */
+internal fun RouteEvidence.isValid(): Boolean =
+    maxOf(target.size, baseline.size) <= EVIDENCE_SLICES && (target + baseline).all { it.isValid() }
+
+private fun SliceEvidence.isValid(): Boolean =
+    failures in 0..responses && listOf(firstEvents, pauses).all { ratios ->
+        ratios.first >= 0 && ratios.first + ratios.counts.size <= RATIO_BUCKETS && ratios.counts.all { it >= 0 }
+    }
+
 /** Returns the larger of each pair of counters. */
 internal fun RouteEvidence.largerOf(other: RouteEvidence): RouteEvidence =
     RouteEvidence(route, largerOf(target, other.target), largerOf(baseline, other.baseline))
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/FixedTest.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/FixedTest.kt
@@ -1,8 +1,12 @@
 package corneltrack.policy.rollout
 
 import kotlin.math.exp
+import kotlin.math.ln
 import kotlin.math.sqrt
 
+/** Where both errors cannot be kept small, completing a bad version counts this many times as much as the other one. */
+private const val BAD_COST = 2.0
+
 /** The two errors of a test, as probabilities. */
 internal class ErrorRates(val badJudgedGood: Double, goodJudgedBad: Double) {
     val badDeviations: Double = normalDeviations(badJudgedGood)
@@ -21,8 +25,9 @@
     /** Whether the responses are at least as likely if the version is good. */
     val favoursGood: Boolean get() = logRatio <= 0
 
-    /** Whether the responses are nearer to what is expected of a good version than to no preference. */
-    val resemblesGood: Boolean get() = logRatio <= samples.sumOf { it.expectedLogRatio(increase, it.rate) } / 2
+    /** Whether the responses favour a good version by [BAD_COST], or by half of what is expected of a good one. */
+    val resemblesGood: Boolean
+        get() = logRatio <= maxOf(-ln(BAD_COST), samples.sumOf { it.expectedLogRatio(increase, it.rate) } / 2)
 
     /** Returns whether a version with the increased rate would do as well with at most the allowed probability. */
     fun excludes(rates: ErrorRates): Boolean = logRatio <= limit(rates)
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/RolloutDecision.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/RolloutDecision.kt
@@ -36,13 +36,14 @@
 private fun advance(view: RolloutView, order: RolloutOrder, status: RolloutStatus, nowMs: Long): RolloutStep {
     val deadlineMs = status.startedWallClockMs + order.durationMs
     val shiftMs = status.startedWallClockMs + view.schedule.shiftAfterMs(order.durationMs)
+    val trialEndMs = status.startedWallClockMs + view.schedule.trialEndAfterMs(order.durationMs)
     val shifting = status.phase == RolloutPhase.SHIFTING
     val next = when {
         view.targetEndpoints == null -> null
         view.targetEndpoints == 0 -> RolloutPhase.ROLLED_BACK.takeIf { shifting || nowMs >= deadlineMs }
         shifting -> RolloutPhase.COMPLETED.takeIf { view.shifted(order.orderId) }
         view.verdict == Verdict.Good -> RolloutPhase.SHIFTING.takeIf { nowMs >= shiftMs }
-        else -> RolloutPhase.ROLLED_BACK.takeIf { nowMs >= deadlineMs }
+        else -> RolloutPhase.ROLLED_BACK.takeIf { nowMs >= trialEndMs }
     }
     return if (next == null) RolloutStep.Wait else view.write(status, next)
 }
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/RolloutEvidence.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/RolloutEvidence.kt
@@ -80,7 +80,7 @@
     )
 
     /**
-     * Takes in a peer's report. Reports on other orders and this run's own are ignored.
+     * Takes in a peer's report. Reports on other orders, this run's own and invalid counters are ignored.
      *
      * @return whether the report contained anything new.
      */
@@ -98,7 +98,7 @@
         for (reported in routes) {
             val before = known[reported.route]
             val larger = if (before === reported) before else before?.largerOf(reported) ?: reported
-            if (larger != before) {
+            if (larger != before && reported.isValid()) {
                 totals.getOrPut(reported.route, ::RouteCounters).addGrowth(before, larger)
                 known[reported.route] = larger
                 changed = true
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/RolloutStep.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/RolloutStep.kt
@@ -68,6 +68,13 @@
     public fun shiftAfterMs(durationMs: Long): Long =
         maxOf((EARLIEST_SHIFT * durationMs).toLong(), durationMs - drainMs - SHIFT_MARGIN_MS)
 
+    /**
+     * Returns the time between the order and the rollback of a version that is still undecided, in ms.
+     *
+     * It is the deadline, unless the order is so short that few responses to trial requests would have ended by then.
+     */
+    public fun trialEndAfterMs(durationMs: Long): Long = maxOf(durationMs, TRIAL_DRAINS * drainMs)
+
     /** Returns whether the time to decide has come, which [judge] takes as its last call. */
     public fun lastCall(startedMs: Long, durationMs: Long, nowMs: Long): Boolean =
         nowMs >= startedMs + shiftAfterMs(durationMs)
@@ -75,5 +82,8 @@
 
 private const val EARLIEST_SHIFT = 0.6
 
+/** A trial lasts at least as long as this many responses. */
+private const val TRIAL_DRAINS = 3
+
 /** The time for two writes to the store, their way to all routers, and the takeover of a dead decider, in ms. */
 private const val SHIFT_MARGIN_MS = 2_000L
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/Verdict.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/Verdict.kt
@@ -47,12 +47,12 @@
 public fun judge(evidence: RolloutEvidence, bounds: RolloutBounds, lastCall: Boolean): Verdict {
     val routes = evidence.routes.mapValues { (_, counters) -> counters.comparisons() }
     val whole = routes.values.map { it.first() }
-    return when {
-        routes.isEmpty() -> Verdict.Undecided
-        excessBadResponses(whole) >= bounds.stopAtBadResponses -> Verdict.Bad(BadReason.BAD_RESPONSES)
-        else ->
-            badVerdict(routes, bounds)
-                ?: Verdict.Good.takeIf { lastCall && isGood(routes.values, bounds) }
-                ?: Verdict.Undecided
+    return if (routes.isEmpty()) {
+        Verdict.Undecided
+    } else {
+        badVerdict(routes, bounds)
+            ?: Verdict.Bad(BadReason.BAD_RESPONSES).takeIf { excessBadResponses(whole) >= bounds.stopAtBadResponses }
+            ?: Verdict.Good.takeIf { lastCall && isGood(routes.values, bounds) }
+            ?: Verdict.Undecided
     }
 }
