--- a/corneltrack-policy/src/test/kotlin/corneltrack/policy/rollout/ModelRegion.kt
+++ b/corneltrack-policy/src/test/kotlin/corneltrack/policy/rollout/ModelRegion.kt
@@ -16,6 +16,9 @@
     var badSinceMs: Long? = null
     var verdict: Verdict = Verdict.Undecided
     var writeInFlight = false
+
+    /** Whether the region knows of no end of the order; evidence matters no more after it. */
+    val open get() = status?.phase?.ended != true
     var changed = true
 
     fun stop(verdict: Verdict.Bad, nowMs: Long) {
