Ask for times before a version is judged good

Responses without times let a slow version pass: a router that scales its ratios by the first responses of the baseline has none for a while, and for the whole order where many routers share few requests.

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/GoodVerdict.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/GoodVerdict.kt
@@ -61,11 +61,14 @@
     FixedTest(routes.map { it.slowPauses }, EXCLUDED_SLOW),
 )
 
-/** Excludes that the version is 2.5 times as slow as the baseline, in first events and in pauses where it has them. */
+/**
+ * Excludes that the version is 2.5 times as slow as the baseline, in first events and, where the baseline has them, in
+ * pauses. Responses without a time to the first event exclude nothing.
+ */
 private fun paceExcluded(routes: List<Comparison>, rates: ErrorRates): Boolean {
     val threshold = -ln(rates.badJudgedGood)
     val firstEvents = routes.sumOf { paceLogRatio(it.target.firstEvents, it.baseline.firstEvents, STAKE) }
     val pauses = routes.sumOf { paceLogRatio(it.target.pauses, it.baseline.pauses, STAKE) }
-    return (firstEvents >= threshold || routes.all { it.baseline.firstEvents.sum() == 0 }) &&
+    return firstEvents >= threshold &&
         (pauses >= threshold || routes.all { it.baseline.pauses.sum() == 0 })
 }
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/RolloutStep.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/RolloutStep.kt
@@ -71,9 +71,10 @@
     /**
      * Returns the time between the order and the rollback of a version that is still undecided, in ms.
      *
-     * It is the deadline, unless the order is so short that few responses to trial requests would have ended by then.
+     * It is the deadline, unless the order is shorter than a response, so that none might be known by then.
      */
-    public fun trialEndAfterMs(durationMs: Long): Long = maxOf(durationMs, TRIAL_DRAINS * drainMs)
+    public fun trialEndAfterMs(durationMs: Long): Long =
+        if (durationMs < drainMs) TRIAL_DRAINS * drainMs else durationMs
 
     /** Returns whether the time to decide has come, which [judge] takes as its last call. */
     public fun lastCall(startedMs: Long, durationMs: Long, nowMs: Long): Boolean =
@@ -82,7 +83,7 @@
 
 private const val EARLIEST_SHIFT = 0.6
 
-/** A trial lasts at least as long as this many responses. */
+/** The trial of an order that is shorter than a response lasts as long as this many responses. */
 private const val TRIAL_DRAINS = 3
 
 /** The time for two writes to the store, their way to all routers, and the takeover of a dead decider, in ms. */
--- a/corneltrack-policy/src/test/kotlin/corneltrack/policy/rollout/JudgeTest.kt
+++ b/corneltrack-policy/src/test/kotlin/corneltrack/policy/rollout/JudgeTest.kt
@@ -89,4 +89,28 @@
         repeat(2) { withFailures.onResponse(RolloutResponse("v2", "s", failed = true, null), nowMs = 7_000) }
         assertTrue(judge(withFailures) != Verdict.Good)
     }
+
+    /** A router that cannot tell the times yet must not let a slow version pass. */
+    @Test
+    fun `responses without times do not make a version good`() {
+        val evidence = RolloutEvidence(order, InstanceId("a"), 1, orderedAtMs = 0)
+        repeat(400) {
+            repeat(12) { evidence.onResponse(RolloutResponse("v1", "r", failed = false, null), nowMs = 7_000) }
+            evidence.onResponse(RolloutResponse("v2", "r", failed = false, null), nowMs = 7_000)
+        }
+        assertEquals(Verdict.Undecided, judge(evidence))
+    }
+
+    @Test
+    fun `an expected time that is wrong for both versions does not matter`() {
+        for (factor in listOf(0.05, 20.0)) {
+            val evidence = RolloutEvidence(order, InstanceId("a"), 1, orderedAtMs = 0)
+            repeat(1_000) {
+                val version = if (it % 12 == 0) "v2" else "v1"
+                val slower = if (version == "v2") 3.0 else 1.0
+                evidence.onResponse(RolloutResponse(version, "r", false, factor * slower * random.ratio(0.3)), 7_000)
+            }
+            assertEquals(Verdict.Bad(BadReason.SLOW_FIRST_EVENTS, "r"), judge(evidence))
+        }
+    }
 }
