Stop the trial in a part of the fleet without the store and half of its peers

A third of the routers that was cut off together went on by its own evidence, and sent requests up to 5,660 ms after the 50th bad response of a version with 5 of 100 failing. Such a part now stops 3,000 ms after it was cut off.

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/TrialShare.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/TrialShare.kt
@@ -6,6 +6,9 @@
 /** The time without news from the store or a peer after which a router ends its part of a trial, in ms. */
 private const val TRIAL_SILENCE_MS = 1_000L
 
+/** The time without news from a peer after which it counts as cut off, in ms; far peers are told less often. */
+private const val PEER_SILENCE_MS = 3_000L
+
 /**
  * Limits the trial requests of one router for one order to [share] of its own requests for the pool.
  *
@@ -57,3 +60,18 @@
  */
 public fun mayTrial(lastHeardFromStoreOrPeerMs: Long, nowMs: Long): Boolean =
     nowMs - lastHeardFromStoreOrPeerMs <= TRIAL_SILENCE_MS
+
+/**
+ * Returns whether a router may send requests to the target version of a trial, given whom it hears.
+ *
+ * A part of the fleet that is cut off from the store and from half of its peers stops even if its routers hear each
+ * other: it has too little evidence of its own, and does not learn of the verdict of the others.
+ *
+ * @param storeSilentMs the time since the router last heard from the store, in ms.
+ * @param peersSilentMs the time since the router last heard from each listed peer, in ms.
+ */
+public fun mayTrial(storeSilentMs: Long, peersSilentMs: List<Long>): Boolean {
+    val heard = peersSilentMs.count { it <= PEER_SILENCE_MS }
+    val inContact = peersSilentMs.any { it <= TRIAL_SILENCE_MS } && 2 * heard >= peersSilentMs.size
+    return storeSilentMs <= TRIAL_SILENCE_MS || inContact
+}
--- a/corneltrack-policy/src/test/kotlin/corneltrack/policy/rollout/ModelRegion.kt
+++ b/corneltrack-policy/src/test/kotlin/corneltrack/policy/rollout/ModelRegion.kt
@@ -20,6 +20,7 @@
     /** Whether the region knows of no end of the order; evidence matters no more after it. */
     val open get() = status?.phase?.ended != true
     var changed = true
+    var mayTrial = true
 
     fun stop(verdict: Verdict.Bad, nowMs: Long) {
         if (bad != null) return
--- a/corneltrack-policy/src/test/kotlin/corneltrack/policy/rollout/RolloutModel.kt
+++ b/corneltrack-policy/src/test/kotlin/corneltrack/policy/rollout/RolloutModel.kt
@@ -89,7 +89,7 @@
         val route = random.route()
         val versions = versionsInForce(LISTED, order, region.status, stopped = region.bad != null)
         router.share.onRequest()
-        val trial = versions.trial == TARGET && plan.open(now + wallClockOffsetMs)
+        val trial = versions.trial == TARGET && region.mayTrial && plan.open(now + wallClockOffsetMs)
         val target = TARGET in versions.regular || (trial && router.share.tryTake())
         counts.onRequest(target, now, store, router)
         respond(router, route, target, retry)
@@ -134,7 +134,11 @@
         return perSecond >= LOAD_SHARE * scenario.requestsPerSecond / scenario.endpoints
     }
 
+    private fun mayTrial(region: ModelRegion): Boolean =
+        mayTrial(if (storeReachable(region)) 0 else now - faultFromMs, region.heardAtMs.map { now - it })
+
     private fun decide(region: ModelRegion) {
+        region.mayTrial = mayTrial(region)
         val started = region.status?.startedWallClockMs ?: 0
         val verdict = region.judge(schedule.lastCall(started, DURATION_MS, now), now)
         val members = routers.filter { it.alive && it.region === region }
--- a/corneltrack-policy/src/test/kotlin/corneltrack/policy/rollout/TrialShareTest.kt
+++ b/corneltrack-policy/src/test/kotlin/corneltrack/policy/rollout/TrialShareTest.kt
@@ -47,6 +47,16 @@
         assertFalse(mayTrial(lastHeardFromStoreOrPeerMs = 500, nowMs = 1_501))
     }
 
+    @Test
+    fun `a part of the fleet without the store and half of its peers takes no part in a trial`() {
+        val third = List(2) { 100L } + List(5) { 3_001L }
+        assertFalse(mayTrial(storeSilentMs = 1_001, peersSilentMs = third))
+        assertTrue(mayTrial(storeSilentMs = 1_000, peersSilentMs = third))
+        assertTrue(mayTrial(storeSilentMs = 60_000, peersSilentMs = List(4) { 100L } + List(3) { 9_000L }))
+        assertFalse(mayTrial(storeSilentMs = 1_001, peersSilentMs = List(7) { 1_001L }))
+        assertFalse(mayTrial(storeSilentMs = 1_001, peersSilentMs = emptyList()))
+    }
+
     @Test
     fun `a trial loads as few endpoints as carry what an old one carries`() {
         assertEquals(endpoints(2), trialPlan(endpoints(24).shuffled(), baselineEndpoints = 24).endpoints)
