Bound what callers hold of a router over all connections

Clients that nobody controls could end a process or leave it unable to answer: decoded heads, requests decoded ahead, refusals and responses that nobody reads, surplus connections and digests of unannounced senders were bounded by one connection or not at all. Where direct memory runs out, the JDK sleeps up to half a second for each buffer on the event loop, so that the router lives and answers nobody.

- CallerMemory accounts for decoded heads and for what waits to be decoded or read; the connection that holds most gives way, heads make room for bodies, ordinary callers never give way.
- GatedRequestDecoder decodes no request before the one ahead has been served, also on control and readiness ports. 431 for more than 4,096 lines in a head, 408 for a head that is late.
- ResponseBacklog judges readers: 4 MiB may wait for each while memory is plenty and 32 KiB while it is short; an endpoint held back for 3 s is relieved by a visible cut.
- Surplus connections close as they are accepted; control ports bound their connections, head lines and bodies; 128 unannounced peers count with digests of up to 4 KiB; unreadable digests are logged ten times a second.
- ResponseMemory counts the capacity of its buffers, at most an eighth of the heap.
- Settings, callers_shed in the log, a counter by reason, a gauge by kind.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/Router.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/Router.kt
@@ -98,7 +98,7 @@
         ControlApi(ApiDelegate(), allocators, views, idempotentRequests.claimOutcomes, crashDetector, control)
     private val connections = CallerConnections()
     private val connectionLimits = ConnectionLimits(bodyBytes = settings.limits.bodyBytes)
-    private val callers = CallerServer(workers) {
+    private val callers = CallerServer(workers, connections::admits) {
         CallerConnection(connectionLimits, connections, gateway::handle)
     }
     private val controlServer = ControlServer(controlLoops, settings.secret, UNAUTHENTICATED_PATHS, controlApi::handle)
@@ -166,6 +166,7 @@
             peerConfiguration.tick()
             loanExchanger.tick()
             loadPoller.tick()
+            connections.checkReaders(clock())
             if (ticks++ % EXPIRY_PERIOD_TICKS == 0L) {
                 snapshotter.tick()
                 runner.expire(clock(), ISOLATION_TIMEOUT_MS)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerConnection.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerConnection.kt
@@ -1,5 +1,7 @@
 package corneltrack.router.callers
 
+import corneltrack.wire.DecoderGate
+import corneltrack.wire.maximumHeadLines
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.EventLoop
@@ -20,8 +22,8 @@
 private const val DEFAULT_HEAD_TIMEOUT_MS = 10_000L
 private const val BODY_TIMEOUT_MS = 30_000L
 
-/** How long the write buffer may stay full, because the caller does not read its response, in ms. */
-private const val WRITE_TIMEOUT_MS = 60_000L
+/** Up to so many undecoded bytes the connection is still read, so that the disconnect of its caller is seen. */
+private const val UNDECODED_BYTES_READ = 512
 
 /** A request of a caller with its complete body. */
 internal class CallerRequest(val head: HttpRequest, val body: ByteArray)
@@ -35,6 +37,7 @@
  * @property headBytes the maximum size of a request head, in bytes.
  * @property bodyBytes the maximum size of a request body, in bytes.
  * @property headTimeoutMs the maximum time from the first byte of a head to its end, in ms.
+ * @property headLines the maximum number of lines in a head; by default none that fits into [headBytes] has more.
  * @property idleTimeoutMs the maximum time without a request, in ms; null for no limit.
  */
 internal data class ConnectionLimits(
@@ -42,12 +45,14 @@
     val bodyBytes: Int,
     val headTimeoutMs: Long = DEFAULT_HEAD_TIMEOUT_MS,
     val idleTimeoutMs: Long? = null,
+    val headLines: Int = maximumHeadLines(headBytes),
 )
 
 /**
  * Reads one caller's requests one after the other and writes their responses.
  *
- * A pipelined request, which arrives before the previous response has ended, waits until it has. A request for whose
+ * A pipelined request, which arrives before the previous response has ended, stays undecoded until it has and until the
+ * caller has read what was written. A request for whose
  * body there is no memory is refused at its head; the body is then read and dropped, since a caller that is still
  * sending when the connection closes may not see the refusal.
  *
@@ -58,28 +63,36 @@
     private val connections: CallerConnections,
     private val handle: CallerRequestHandler,
 ) : ChannelInboundHandlerAdapter() {
-    /** The maximum size of a request head, in bytes. */
-    val maximumHeadBytes: Int get() = limits.headBytes
-
-    /** Whether no request is being read, handled or waiting. */
-    val idle: Boolean get() = head == null && response == null && pipelined.isEmpty()
+    /** Whether no request is being read, handled or waiting, and no response is being written. */
+    val idle: Boolean get() = head == null && response == null && undecodedBytes == 0 && output.pendingBytes == 0L
     private var context: ChannelHandlerContext? = null
     private var head: HttpRequest? = null
     private var body: RequestBody? = null
     private var response: CallerResponse? = null
     private var closing = false
+    private val gate = RequestGate()
+
+    /** The codec of this connection. */
+    val codec: StrictServerCodec = StrictServerCodec(limits.headBytes, limits.headLines, gate)
+    private val part = connections.memory.newPart(gate)
+
+    /** The bytes of requests that wait until they may be decoded. */
+    private val undecodedBytes: Int get() = if (gate.open) 0 else codec.undecodedBytes
+    private val output by lazy(LazyThreadSafetyMode.NONE) {
+        CallerOutput(context!!, connections.memory, part) { codec.undecodedCapacity }
+    }
 
-    /** The timeout of reading a body or of waiting until the caller reads its response. */
+    /** The timeout of reading a head or a body. */
     private var timer: ScheduledFuture<*>? = null
     private val idleTimer = IdleTimer(limits.idleTimeoutMs, { idle }) { context?.close() }
     private val assembler = RequestAssembler()
 
-    /** Messages decoded before the current response has ended. */
-    private val pipelined = ArrayDeque<Any>()
+    override fun handlerAdded(context: ChannelHandlerContext) {
+        this.context = context
+    }
 
     override fun channelActive(context: ChannelHandlerContext) {
-        this.context = context
-        if (connections.onOpened(this)) awaitRequest(context) else context.close()
+        if (connections.onOpened(this)) assembler.awaitRequest(context) else context.close()
     }
 
     /** Closes the connection unless it has a request; may be called on any thread. */
@@ -88,12 +101,18 @@
         current.executor().execute { if (idle) current.close() }
     }
 
-    override fun channelRead(context: ChannelHandlerContext, message: Any) {
-        if (response != null) {
-            pipelined.addLast(message)
-            context.channel().config().isAutoRead = false
-            return
+    /** Resumes the response if the caller has read enough, or closes the connection if it reads too slowly. */
+    fun checkReader(nowMs: Long) {
+        val current = context ?: return
+        if (!current.executor().inEventLoop()) return current.executor().execute { checkReader(nowMs) }
+        when (output.check(nowMs)) {
+            BacklogStep.WAIT -> Unit
+            BacklogStep.RESUME -> response?.onWritable?.invoke(true)
+            BacklogStep.CUT -> gate.cut(ShedReason.SLOW_READER)
         }
+    }
+
+    override fun channelRead(context: ChannelHandlerContext, message: Any) {
         try {
             if (!closing && message is HttpRequest) assembler.onHead(context, message)
             if (!closing && message is HttpContent && head != null) assembler.onContent(context, message)
@@ -102,11 +121,16 @@
         }
     }
 
-    /** Limits the time for the rest of a body; most requests arrive whole and need no timer. */
+    /** Limits the time for the rest of a head or body; most requests arrive whole and need no timer. */
     override fun channelReadComplete(context: ChannelHandlerContext) {
-        if (head != null && timer == null) {
-            timer = context.after(BODY_TIMEOUT_MS) {
-                if (body == null) context.close() else refuseAndClose(context, BODY_TIMEOUT)
+        if (codec.undecodedBytes > 0) output.account()
+        if (timer == null && !closing && response == null) {
+            timer = when {
+                head != null -> context.after(BODY_TIMEOUT_MS) {
+                    if (body == null) context.close() else refuseAndClose(context, BODY_TIMEOUT)
+                }
+                codec.inHead -> context.after(limits.headTimeoutMs) { gate.onHeadTimeout(context) }
+                else -> null
             }
         }
         context.fireChannelReadComplete()
@@ -118,17 +142,13 @@
         idleTimer.cancel()
         response?.onCallerDisconnected()
         assembler.dropBody()
-        pipelined.forEach(ReferenceCountUtil::release)
-        pipelined.clear()
+        part.release()
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
-        timer?.cancel(false)
-        val writable = context.channel().isWritable
-        if (!writable) {
-            timer = context.after(WRITE_TIMEOUT_MS) { context.close() }
-        }
-        response?.onWritable?.invoke(writable)
+        output.account()
+        if (context.channel().isWritable && output.writable) response?.onWritable?.invoke(true)
+        gate.resume()
     }
 
     @Deprecated("Netty keeps this method for inbound handlers")
@@ -141,7 +161,9 @@
         fun onHead(context: ChannelHandlerContext, request: HttpRequest) {
             val failure = request.decoderResult().cause()
             if (failure != null) {
-                refuseAndClose(context, unreadable(failure))
+                val refusal = unreadable(failure)
+                if (refusal === HEAD_TOO_LARGE) connections.shed.count(ShedReason.HEAD_TOO_LARGE)
+                refuseAndClose(context, refusal)
                 return
             }
             timer?.cancel(false)
@@ -150,6 +172,7 @@
             val received = RequestBody(request, limits.bodyBytes, connections.bodyMemory.newPart())
             body = received
             val reserved = received.reserve()
+            connections.memory.onBodiesGrown()
             when {
                 reserved && HttpUtil.is100ContinueExpected(request) ->
                     context.writeAndFlush(DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE))
@@ -188,7 +211,7 @@
             if (HttpUtil.is100ContinueExpected(request)) {
                 refuseAndClose(context, NO_BODY_MEMORY)
             } else {
-                CallerResponse(context, keepAlive = { true }) { }.refuse(NO_BODY_MEMORY)
+                CallerResponse(context, output, keepAlive = { true }, gate::resume) { }.refuse(NO_BODY_MEMORY)
             }
         }
 
@@ -198,6 +221,7 @@
             if (!failed && content !is LastHttpContent) return
             val keepAlive = !failed && head?.let(HttpUtil::isKeepAlive) == true && connections.mayStayOpen
             head = null
+            part.hold(HeldKind.HEADS, 0)
             if (keepAlive) awaitRequest(context) else context.close()
         }
 
@@ -212,39 +236,93 @@
             val onWritten = {
                 connections.onWritten()
                 received.release()
+                output.account()
+                if (idle) idleTimer.restart(context.executor())
+                gate.resume()
             }
-            val current = CallerResponse(context, { keepAlive && connections.mayStayOpen }, onWritten) {
+            val current = CallerResponse(context, output, { keepAlive && connections.mayStayOpen }, onWritten) {
                 onResponseEnded(context)
             }
             response = current
             val cancel = handle(request, context.channel().eventLoop() as EventLoop, current)
             current.onDisconnect = cancel
         }
-    }
 
-    private fun onResponseEnded(context: ChannelHandlerContext) {
-        response = null
-        while (response == null && pipelined.isNotEmpty()) {
-            channelRead(context, pipelined.removeFirst())
+        fun awaitRequest(context: ChannelHandlerContext) {
+            timer?.cancel(false)
+            timer = null
+            idleTimer.restart(context.executor())
         }
-        if (response == null) {
-            context.channel().config().isAutoRead = true
+
+        private fun onResponseEnded(context: ChannelHandlerContext) {
+            response = null
+            part.hold(HeldKind.HEADS, 0)
             if (head == null) awaitRequest(context)
+            gate.resume()
         }
     }
 
-    private fun awaitRequest(context: ChannelHandlerContext) {
-        timer?.cancel(false)
-        timer = null
-        idleTimer.restart(context.executor())
-    }
-
     private fun refuseAndClose(context: ChannelHandlerContext, refusal: Refusal) {
         timer?.cancel(false)
         closing = true
         head = null
         assembler.dropBody()
-        CallerResponse(context, keepAlive = { false }) { }.refuse(refusal)
+        CallerResponse(context, output, keepAlive = { false }) { }.refuse(refusal)
+    }
+
+    /** Decides when requests are decoded, and ends the connection where it holds too much. */
+    private inner class RequestGate : DecoderGate, MemoryHolder {
+        private var resuming = false
+
+        override val open: Boolean get() = response == null && !closing && output.mayAnswerMore
+
+        override val slow: Boolean get() = output.slow
+
+        override fun onHeldBack(bytes: Int) {
+            if (bytes > UNDECODED_BYTES_READ) context?.channel()?.config()?.isAutoRead = false
+        }
+
+        override fun onHeadCost(costBytes: Int) = part.hold(HeldKind.HEADS, costBytes.toLong())
+
+        /** Goes on to decode what has been received, in a task of its own, since this may be called while decoding. */
+        fun resume() {
+            val current = context
+            if (current == null || resuming || !open) return
+            val config = current.channel().config()
+            if (codec.undecodedBytes == 0 && config.isAutoRead) return
+            resuming = true
+            current.executor().execute {
+                resuming = false
+                if (open && current.channel().isActive) {
+                    codec.resume(current.pipeline().context(codec))
+                    if (open) config.isAutoRead = true
+                }
+            }
+        }
+
+        override fun giveWay(kind: HeldKind) {
+            val current = context ?: return
+            if (!current.executor().inEventLoop()) return current.executor().execute { giveWay(kind) }
+            if (kind == HeldKind.HEADS && response == null && !closing) {
+                connections.shed.count(ShedReason.HEAD_MEMORY)
+                refuseAndClose(current, NO_HEAD_MEMORY)
+            } else {
+                cut(if (kind == HeldKind.HEADS) ShedReason.HEAD_MEMORY else ShedReason.WAITING_MEMORY)
+            }
+        }
+
+        /** Closes the connection before the end of its response, which cancels the request at its endpoint. */
+        fun cut(reason: ShedReason) {
+            connections.shed.count(reason)
+            context?.close()
+        }
+
+        fun onHeadTimeout(context: ChannelHandlerContext) {
+            timer = null
+            if (response != null || head != null || !codec.inHead) return
+            connections.shed.count(ShedReason.HEAD_TIMEOUT)
+            refuseAndClose(context, HEAD_TIMEOUT)
+        }
     }
 }
 
@@ -268,5 +346,15 @@
     "The bodies of other requests take the memory of this router.",
     retryAfterMs = DEFAULT_RETRY_AFTER_MS,
 )
+
+/** Refuses a request whose head holds the most while the heads of all callers take more memory than there is. */
+internal val NO_HEAD_MEMORY: Refusal = Refusal(
+    HttpResponseStatus.SERVICE_UNAVAILABLE,
+    "head_memory",
+    "The heads of requests take the memory of this router.",
+    retryAfterMs = DEFAULT_RETRY_AFTER_MS,
+)
+private val HEAD_TIMEOUT =
+    Refusal(HttpResponseStatus.REQUEST_TIMEOUT, "head_timeout", "The request head did not arrive in time.")
 private val BODY_TIMEOUT =
     Refusal(HttpResponseStatus.REQUEST_TIMEOUT, "body_timeout", "The request body did not arrive in time.")
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerConnections.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerConnections.kt
@@ -20,11 +20,13 @@
  * @param maximum the connections that may be open at once, so that descriptors are left for endpoints, peers and the
  *   store however many callers connect.
  * @property bodyMemory the memory for the bodies of all requests.
+ * @property memory what is held for callers beside bodies.
  * @property onBodyRefused called with the head of each request for whose body there is no memory.
  */
 internal class CallerConnections(
     private val maximum: Int = Int.MAX_VALUE,
     val bodyMemory: BodyMemory = BodyMemory(),
+    val memory: CallerMemory = CallerMemory { bodyMemory.heldBytes },
     val onBodyRefused: (HttpRequest) -> Unit = {},
 ) {
     private val open: MutableSet<CallerConnection> = ConcurrentHashMap.newKeySet()
@@ -32,6 +34,9 @@
     private val accepted = AtomicLong()
     private val requests = AtomicLong()
 
+    /** Counts the connections that were refused or cut off, by reason. */
+    val shed: ShedCounts = ShedCounts()
+
     /** Whether idle connections were closed since there were last few, so that a flood does not have it done again. */
     private val makingRoom = AtomicBoolean()
 
@@ -63,6 +68,19 @@
     /** Closes the connections that have no request. */
     fun closeIdle() = open.forEach { it.closeIfIdle() }
 
+    /** Resumes responses whose callers have read enough, and cuts off those whose callers read too slowly. */
+    fun checkReaders(nowMs: Long) = open.forEach { it.checkReader(nowMs) }
+
+    /** Whether a connection is kept, beside [accepting] others that are not known to their handlers yet. */
+    fun admits(accepting: Int): Boolean {
+        val room = openCount + accepting < maximum
+        if (!room) {
+            shed.count(ShedReason.TOO_MANY_CONNECTIONS)
+            makeRoom()
+        }
+        return room
+    }
+
     /**
      * Waits until all connections are closed, after the server has stopped to accept any. Each closes after its answer.
      *
@@ -81,10 +99,14 @@
         accepted.incrementAndGet()
         open += connection
         val fits = openCount <= maximum
-        if (!fits && !makingRoom.getAndSet(true)) closeIdle()
+        if (!fits) makeRoom()
         return fits
     }
 
+    private fun makeRoom() {
+        if (!makingRoom.getAndSet(true)) closeIdle()
+    }
+
     fun onClosed(connection: CallerConnection) {
         open -= connection
         if (openCount <= maximum * CROWDED_FRACTION) makingRoom.set(false)
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerMemory.kt
@@ -0,0 +1,151 @@
+package corneltrack.router.callers
+
+import io.netty.util.internal.PlatformDependent
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+
+/** The part of the heap for decoded heads; bodies take up to 9/16 of it, responses that are not passed on 1/8. */
+private const val HEADS_HEAP_FRACTION = 0.125
+
+/** The part of the heap for bodies and decoded heads together. */
+private const val TOTAL_HEAP_FRACTION = 0.625
+
+/** The part of their bound that heads keep however much bodies hold. */
+private const val HEADS_RESERVE_FRACTION = 0.25
+
+/** The part of the direct memory for received bytes that wait and responses that are not read. */
+private const val WAITING_DIRECT_FRACTION = 0.33
+
+/** The part of a bound from which on responses are no longer read ahead for callers that read slowly. */
+private const val SHORT_FRACTION = 0.5
+
+/** Beyond this multiple of a bound even a connection that is not slow gives way. */
+private const val EXCESS_FACTOR = 1.5
+
+/** What an ordinary caller holds. A connection that holds no more than that never gives way to others. */
+private const val ORDINARY_BYTES = 4_096L
+
+/** What a connection may have waiting while memory is plenty: a long response, so that its endpoint need not wait. */
+private const val WAITING_BYTES_PER_CONNECTION = 4L * 1024 * 1024
+
+/** The same while memory is short. */
+private const val SHORT_WAITING_BYTES_PER_CONNECTION = 32L * 1024
+
+/** What connections hold that is bounded together. */
+internal enum class HeldKind {
+    /** Heads, by what they cost once decoded, on the heap. */
+    HEADS,
+
+    /** Bytes received and not decoded, and responses that the caller has not read, in direct memory. */
+    WAITING,
+}
+
+/**
+ * The bounds of [CallerMemory], in bytes.
+ *
+ * @property headBytes what the decoded heads of all connections may take.
+ * @property totalHeapBytes what heads and bodies together may take; bodies that grow take it from large heads.
+ * @property waitingBytes what all connections may have waiting to be decoded or to be read.
+ */
+internal data class CallerMemoryBounds(
+    val headBytes: Long = (Runtime.getRuntime().maxMemory() * HEADS_HEAP_FRACTION).toLong(),
+    val totalHeapBytes: Long = (Runtime.getRuntime().maxMemory() * TOTAL_HEAP_FRACTION).toLong(),
+    val waitingBytes: Long = (PlatformDependent.maxDirectMemory() * WAITING_DIRECT_FRACTION).toLong(),
+)
+
+/** A connection that holds memory and can give it back. */
+internal interface MemoryHolder {
+    /** Whether the connection takes longer than other callers to read what waits for it. */
+    val slow: Boolean
+
+    /** Refuses or cuts off what the connection does, since it holds more than others while memory is short. */
+    fun giveWay(kind: HeldKind)
+}
+
+/**
+ * Accounts for what the router holds for its callers beside bodies, and bounds each kind over all connections.
+ *
+ * Answers clients that together take more than the process has, each within its limits. Where a bound is exceeded, the
+ * connections that hold most give way, not the newest, so that ordinary callers are served beside a crowd. One
+ * connection alone never gives way. Thread-safe, but for each [Part], which belongs to one connection.
+ *
+ * @param bodyBytes returns what the bodies of all requests hold.
+ */
+internal class CallerMemory(
+    private val bounds: CallerMemoryBounds = CallerMemoryBounds(),
+    private val bodyBytes: () -> Long = { 0 },
+) {
+    private val parts: MutableSet<Part> = ConcurrentHashMap.newKeySet()
+    private val heads = AtomicLong()
+    private val waiting = AtomicLong()
+
+    /** Whether responses must not be read far ahead of their callers. */
+    val short: Boolean get() = waiting.get() > bounds.waitingBytes * SHORT_FRACTION
+
+    /** Returns the bytes that all connections hold of [kind]. */
+    fun heldBytes(kind: HeldKind): Long = total(kind).get()
+
+    /** Whether a connection with [waitingBytes] waiting may get more of its response. */
+    fun mayWait(waitingBytes: Long): Boolean =
+        waitingBytes < if (short) SHORT_WAITING_BYTES_PER_CONNECTION else WAITING_BYTES_PER_CONNECTION
+
+    /** Returns the part of a new connection, which holds nothing yet. */
+    fun newPart(holder: MemoryHolder): Part = Part(holder)
+
+    private fun total(kind: HeldKind) = if (kind == HeldKind.HEADS) heads else waiting
+
+    /** Has large heads give way to bodies, where both together take more than there is for them. */
+    fun onBodiesGrown() = makeRoom(HeldKind.HEADS)
+
+    private fun bound(kind: HeldKind): Long = if (kind == HeldKind.HEADS) headsBound() else bounds.waitingBytes
+
+    private fun headsBound(): Long {
+        val reserve = (bounds.headBytes * HEADS_RESERVE_FRACTION).toLong()
+        return minOf(bounds.headBytes, maxOf(reserve, bounds.totalHeapBytes - bodyBytes()))
+    }
+
+    /** Has connections give way until the bound of [kind] is kept, or nobody is left who may have to. */
+    private fun makeRoom(kind: HeldKind) {
+        while (heldBytes(kind) > bound(kind)) {
+            val holders = parts.filter { it.held(kind) > ORDINARY_BYTES }
+            val excess = heldBytes(kind) > bound(kind) * EXCESS_FACTOR
+            val candidates = if (kind == HeldKind.HEADS || excess) holders else holders.filter { it.holder.slow }
+            val largest = candidates.maxByOrNull { it.held(kind) }
+            if (largest == null || holders.size == 1) return
+            largest.release()
+            largest.holder.giveWay(kind)
+        }
+    }
+
+    /** What one connection holds. */
+    inner class Part(val holder: MemoryHolder) {
+        private val headBytes = AtomicLong()
+        private val waitingBytes = AtomicLong()
+
+        /** Set once the connection has given way, after which nothing is accounted for it. */
+        @Volatile
+        private var released = false
+
+        /** Returns the bytes held of [kind]. */
+        fun held(kind: HeldKind): Long = amount(kind).get()
+
+        /** Holds [newBytes] of [kind] instead of what was held before; others, or this, may have to give way. */
+        fun hold(kind: HeldKind, newBytes: Long) {
+            if (released) return
+            val added = newBytes - amount(kind).getAndSet(newBytes)
+            if (added == 0L) return
+            if (newBytes > ORDINARY_BYTES) parts += this
+            val heldAfter = total(kind).addAndGet(added)
+            if (added > 0 && heldAfter > bound(kind)) makeRoom(kind)
+        }
+
+        /** Holds nothing any more, for good. */
+        fun release() {
+            released = true
+            parts -= this
+            HeldKind.entries.forEach { kind -> total(kind).addAndGet(-amount(kind).getAndSet(0)) }
+        }
+
+        private fun amount(kind: HeldKind) = if (kind == HeldKind.HEADS) headBytes else waitingBytes
+    }
+}
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerResponse.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerResponse.kt
@@ -20,15 +20,20 @@
 /** The delay before a retry where no better estimate is known, in ms. */
 internal const val DEFAULT_RETRY_AFTER_MS: Long = 1_000
 
+/** The approximate size of a head or of a refusal, which only the measure of a reader's speed needs. */
+private const val HEAD_BYTES = 256
+
 /**
  * Writes one response to a caller. Only used on the connection's event loop.
  *
+ * @param output writes to the caller.
  * @param keepAlive returns whether the connection stays open for a further request; evaluated when the head is written.
  * @param onWritten called once, when the last byte has been written or the caller has disconnected.
  * @param onEnded called when the last byte has been passed to the connection, so that the next request may be read.
  */
 internal class CallerResponse(
     private val context: ChannelHandlerContext,
+    private val output: CallerOutput,
     private val keepAlive: () -> Boolean,
     private val onWritten: () -> Unit = {},
     private val onEnded: () -> Unit,
@@ -36,12 +41,12 @@
     /** Called if the caller disconnects before the response has ended; cancels the request. */
     var onDisconnect: () -> Unit = {}
 
-    /** Called when the connection's write buffer fills up (false) or drains (true), for backpressure. */
+    /** Called when what the caller has not read becomes too much (false) or little (true), for backpressure. */
     var onWritable: ((Boolean) -> Unit)? = null
     private var ended = false
     private var closesConnection = false
 
-    override val writable: Boolean get() = context.channel().isWritable
+    override val writable: Boolean get() = output.writable
 
     override fun head(response: HttpResponse) {
         val head = DefaultHttpResponse(HttpVersion.HTTP_1_1, response.status())
@@ -55,28 +60,29 @@
         if (closesConnection) {
             head.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
         }
-        context.writeAndFlush(head)
+        output.write(head, HEAD_BYTES)
     }
 
     override fun content(data: ByteBuf) {
-        context.writeAndFlush(DefaultHttpContent(data))
+        val bytes = data.readableBytes()
+        output.write(DefaultHttpContent(data), bytes)
     }
 
     override fun end() {
-        finish(context.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT))
+        finish(output.write(LastHttpContent.EMPTY_LAST_CONTENT, 0))
     }
 
     override fun refuse(refusal: Refusal) {
         if (ended) return
         closesConnection = !keepAlive()
-        finish(context.writeAndFlush(refusal.encoded(closesConnection)))
+        finish(output.write(refusal.encoded(closesConnection), HEAD_BYTES))
     }
 
     /** Sends a complete response with status 200 and the JSON [body]. */
     fun sendJson(body: String) {
         if (ended) return
         closesConnection = !keepAlive()
-        finish(context.writeAndFlush(jsonResponse(HttpResponseStatus.OK, body, closesConnection)))
+        finish(output.write(jsonResponse(HttpResponseStatus.OK, body, closesConnection), body.length))
     }
 
     override fun abort(reason: String) {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/callers/StrictServerCodec.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/callers/StrictServerCodec.kt
@@ -1,6 +1,9 @@
 package corneltrack.router.callers
 
+import corneltrack.wire.DecoderGate
+import corneltrack.wire.GatedRequestDecoder
 import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelPromise
 import io.netty.channel.CombinedChannelDuplexHandler
@@ -8,7 +11,6 @@
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpRequest
-import io.netty.handler.codec.http.HttpRequestDecoder
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseEncoder
 
@@ -22,15 +24,34 @@
  * which allow request smuggling because two HTTP parsers may read different body lengths.
  *
  * @param maximumHeadBytes the maximum size of a request head, in bytes.
+ * @param maximumHeadLines the maximum number of its lines.
+ * @param gate decides when requests are decoded.
  */
 internal class StrictServerCodec(
-    maximumHeadBytes: Int
-) : CombinedChannelDuplexHandler<HttpRequestDecoder, HttpResponseEncoder>() {
+    maximumHeadBytes: Int,
+    maximumHeadLines: Int,
+    gate: DecoderGate,
+) : CombinedChannelDuplexHandler<GatedRequestDecoder, HttpResponseEncoder>() {
     private var method: HttpMethod? = null
 
+    /** The bytes that have been received and not decoded. */
+    val undecodedBytes: Int get() = inboundHandler().undecodedBytes
+
+    /** The memory that these bytes take, which may be more than they are. */
+    val undecodedCapacity: Int get() = inboundHandler().undecodedCapacity
+
+    /** Whether a part of a head has arrived and its end has not. */
+    val inHead: Boolean get() = inboundHandler().inHead
+
     init {
         val config = HttpDecoderConfig().setMaxInitialLineLength(MAXIMUM_LINE_BYTES).setMaxHeaderSize(maximumHeadBytes)
-        init(Decoder(config), Encoder())
+        init(Decoder(config, maximumHeadLines, gate), Encoder())
+    }
+
+    /** Decodes what has been received, where the gate has opened. */
+    fun resume(context: ChannelHandlerContext) {
+        channelRead(context, Unpooled.EMPTY_BUFFER)
+        channelReadComplete(context)
     }
 
     override fun write(context: ChannelHandlerContext, message: Any, promise: ChannelPromise) {
@@ -41,7 +62,8 @@
         }
     }
 
-    private inner class Decoder(config: HttpDecoderConfig) : HttpRequestDecoder(config) {
+    private inner class Decoder(config: HttpDecoderConfig, maximumLines: Int, gate: DecoderGate) :
+        GatedRequestDecoder(config, maximumLines, gate) {
         override fun createMessage(initialLine: Array<String>): HttpMessage {
             val message = super.createMessage(initialLine)
             method = (message as HttpRequest).method()
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/LoadReport.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/LoadReport.kt
@@ -4,8 +4,11 @@
 import corneltrack.policy.placement.FairShareTracker
 import corneltrack.policy.placement.FairShareView
 import corneltrack.router.callers.CallerConnections
+import corneltrack.router.callers.HeldKind
 import corneltrack.router.callers.Refusal
+import corneltrack.router.callers.ShedReason
 import corneltrack.wire.event
+import org.apache.logging.log4j.Level
 import org.apache.logging.log4j.LogManager
 
 /** The interval between two reports, in ms. */
@@ -31,6 +34,7 @@
     private var placed = 0
     private var acceptedBefore = 0L
     private var requestsBefore = 0L
+    private var shedBefore = emptyMap<ShedReason, Long>()
 
     /** Counts a request refused at admission. */
     fun onRefused(refusal: Refusal) {
@@ -65,6 +69,7 @@
                 refused.forEach { (reason, count) -> field(reason, count) }
             }
         }
+        reportShed()
         refused.clear()
         longestLagMs = 0
         placed = 0
@@ -72,6 +77,20 @@
         requestsBefore = connections.requestsTotal
     }
 
+    /** Logs which connections were refused or cut off for what they hold, in one line. */
+    private fun reportShed() {
+        val totals = connections.shed.totals()
+        val added = totals.mapValues { (reason, total) -> total - (shedBefore[reason] ?: 0) }.filterValues { it > 0 }
+        shedBefore = totals
+        if (added.isEmpty()) return
+        added.forEach(metrics.callers::onShed)
+        logger.event("callers_shed", Level.WARN) {
+            added.forEach { (reason, count) -> field(reason.name.lowercase(), count) }
+            HeldKind.entries.forEach { field("${it.name.lowercase()}_bytes", connections.memory.heldBytes(it)) }
+            field("connections", connections.openCount)
+        }
+    }
+
     private fun load(share: FairShareView) =
         RouterLoad(longestLagMs, connections.openCount, connections.pendingRequests, share.reportingPeers)
 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
@@ -4,6 +4,7 @@
 import corneltrack.policy.discovery.Clocks
 import corneltrack.policy.limits.FleetPosition
 import corneltrack.policy.limits.RotationPeers
+import corneltrack.policy.limits.SlidingWindowLimiter
 import corneltrack.wire.event
 import corneltrack.wire.wireProtobuf
 import corneltrack.world.InstanceId
@@ -37,6 +38,11 @@
  * a router that reads fewer goes by old digests, and in the end by itself alone.
  */
 private const val DATAGRAMS_PER_ITERATION = 512
+
+/** Anyone can send datagrams, so that the lines about unreadable ones in one second need a bound. */
+private const val MAXIMUM_UNREADABLE_LINES = 10
+private const val LOG_WINDOW_MS = 1_000L
+private const val MAXIMUM_REASON_LENGTH = 200
 private val PEER_POLL_TIMING = PollTiming(waitMs = 10_000, delayMs = 500)
 private val logger = LogManager.getLogger("corneltrack.router.relay.PeerExchange")
 internal val peerJson: Json = Json { ignoreUnknownKeys = true }
@@ -133,9 +139,10 @@
         shared.partSuspects.dueReports(settings.id.value)?.let { sender.send(it, peers.all) }
     }
 
-    private fun onDigest(digest: PeerDigest) {
+    private fun onDigest(digest: PeerDigest, bytes: Int) {
         val peer = InstanceId(digest.sender)
         val nowMs = clock().monotonicMs
+        if (!peers.admits(peer, bytes)) return
         peers.onDigest(peer, digest.router, nowMs)
         digest.suspicions.forEach(onSuspicion)
         watermarks.onPeer(digest.watermarks)
@@ -144,18 +151,27 @@
     }
 
     private inner class DigestHandler : SimpleChannelInboundHandler<DatagramPacket>() {
+        private val logged = SlidingWindowLimiter(LOG_WINDOW_MS)
+
         override fun channelRead0(context: ChannelHandlerContext, packet: DatagramPacket) {
             val bytes = ByteBufUtil.getBytes(packet.content())
             try {
-                onDigest(wireProtobuf.decodeFromByteArray<PeerDigest>(bytes))
+                onDigest(wireProtobuf.decodeFromByteArray<PeerDigest>(bytes), bytes.size)
             } catch (fault: SerializationException) {
-                logger.event("peer_digest_unreadable", Level.WARN) { field("reason", fault.message) }
+                onUnreadable("peer_digest_unreadable", fault)
             }
         }
 
         @Deprecated("Netty keeps this method for inbound handlers")
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) =
-            logger.event("peer_digest_failed", Level.WARN) { field("reason", cause.message) }
+            onUnreadable("peer_digest_failed", cause)
+
+        private fun onUnreadable(event: String, cause: Throwable) {
+            val nowMs = clock().monotonicMs
+            if (!logged.allows(MAXIMUM_UNREADABLE_LINES, nowMs)) return
+            logged.onEvent(nowMs)
+            logger.event(event, Level.WARN) { field("reason", cause.message?.take(MAXIMUM_REASON_LENGTH)) }
+        }
     }
 
     private companion object {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerTable.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerTable.kt
@@ -23,6 +23,13 @@
 
 /** The time without a digest after which a router counts as unresponsive, in ms; tolerates a few lost datagrams. */
 private const val DIGEST_TIMEOUT_MS = 1_500L
+
+/**
+ * The senders of digests that count though the store has not announced them yet, as after a start. Datagrams can state
+ * any sender, so that their number and the size of their digests need a bound.
+ */
+private const val MAXIMUM_UNANNOUNCED = 128
+private const val MAXIMUM_UNANNOUNCED_BYTES = 4_096
 private val logger = LogManager.getLogger("corneltrack.router.relay.PeerTable")
 
 /**
@@ -54,6 +61,12 @@
     val inDataCentre: RecipientGroup
         get() = RecipientGroup(peers.values.filter { it.dataCentre == settings.dataCentre.value }, cycle = 1)
 
+    /** Whether a digest of [peer] counts: one that is announced, or a short one of few senders that are not. */
+    fun admits(peer: InstanceId, digestBytes: Int): Boolean {
+        val counted = peer in lastDigestMs || lastDigestMs.size < peers.size + MAXIMUM_UNANNOUNCED
+        return peer in peers || counted && digestBytes <= MAXIMUM_UNANNOUNCED_BYTES
+    }
+
     /** Records that a digest of [peer] arrived, and how loaded it says that it is. */
     fun onDigest(peer: InstanceId, load: RouterDigest?, nowMs: Long) {
         lastDigestMs[peer] = nowMs
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayMetrics.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayMetrics.kt
@@ -56,6 +56,9 @@
     private val warmUpRequests = Gauge.builder().name("corneltrack_relay_warm_up_requests")
         .help("Made-up requests that were run to have the code compiled, once all have.").register(registry)
 
+    /** What callers hold beside bodies. */
+    val callers: CallerMemoryMetrics = CallerMemoryMetrics(registry)
+
     /** Records that [requests] made-up requests have been run. */
     fun onWarmedUp(requests: Int) = warmUpRequests.set(requests.toDouble())
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
@@ -7,12 +7,14 @@
 import corneltrack.policy.limits.EventLoopLag
 import corneltrack.policy.limits.PausedEndpoints
 import corneltrack.router.EndpointConnections
+import corneltrack.router.callers.BodyMemory
 import corneltrack.router.callers.CallerConnection
 import corneltrack.router.callers.CallerConnections
 import corneltrack.router.callers.CallerServer
 import corneltrack.router.callers.ConnectionLimits
 import corneltrack.router.monotonicClock
 import corneltrack.router.wallClock
+import corneltrack.wire.ControlLimits
 import corneltrack.wire.ControlRequest
 import corneltrack.wire.ControlResponse
 import corneltrack.wire.ControlServer
@@ -39,6 +41,9 @@
 private const val DRAIN_POLL_MS = 50L
 private const val DEFAULT_MAXIMUM_HEAD_BYTES = 16_384
 private const val DEFAULT_MAXIMUM_BODY_BYTES = 4 * 1024 * 1024
+
+/** Requests to the readiness port need no body. */
+private const val READINESS_BODY_BYTES = 16_384
 private val logger = LogManager.getLogger("corneltrack.router.relay.RelayRouter")
 
 /**
@@ -91,18 +96,23 @@
         eventLoopLag,
         monotonicClock,
     )
-    private val connections = CallerConnections(settings.maximumCallerConnections) { refusals.onBodyRefused(it) }
+    private val bodyMemory = BodyMemory()
+    private val connections =
+        CallerConnections(settings.maximumCallerConnections, bodyMemory, settings.callerMemory.newMemory(bodyMemory)) {
+            refusals.onBodyRefused(it)
+        }
     private val loadReport = LoadReport(eventLoopLag, connections, load.shares, metrics)
     private val refusals: RefusalRecorder = RefusalRecorder(context, eventLoopLag, loadReport)
     private val callHandler =
         CallHandler(routingState, context, load.shares, eventLoopLag, loadReport, refusals)
-    private val callers = CallerServer(eventLoopGroup) {
+    private val callers = CallerServer(eventLoopGroup, connections::admits) {
         CallerConnection(connectionLimits, connections) { request, _, sink -> callHandler.handle(request, sink) }
     }
     private val readiness = ControlServer(eventLoopGroup, null, emptySet(), ::onControlRequest)
 
     @Volatile
-    private var connectionLimits = ConnectionLimits(DEFAULT_MAXIMUM_HEAD_BYTES, DEFAULT_MAXIMUM_BODY_BYTES)
+    private var connectionLimits =
+        ConnectionLimits(DEFAULT_MAXIMUM_HEAD_BYTES, DEFAULT_MAXIMUM_BODY_BYTES).within(settings.callerMemory)
 
     /** Whether the load balancer should route callers to this router. */
     private val ready: Boolean
@@ -115,7 +125,7 @@
     /** Binds the listening addresses and starts to follow the store. Throws if an address is in use. */
     public fun start(): RelayRouter {
         eventLoopLag.onTick(monotonicClock())
-        readiness.start(settings.readiness)
+        readiness.start(settings.readiness, readinessLimits(settings))
         callers.start(settings.callers)
         peers.start()
         loop.execute(routingState::start)
@@ -177,12 +187,14 @@
         eventLoopLag.onTick(nowMs)
         loadReport.onLagSample(nowMs)
         rotation.update(nowMs)
+        connections.checkReaders(nowMs)
     }
 
     private fun runMaintenance() {
         try {
             routingState.expire()
             metrics.onHeldBytes(connections.bodyMemory.heldBytes, context.responseMemory.heldBytes)
+            metrics.callers.onHeldBytes(connections.memory)
             val endpoints = routingState.directory.endpoints
             load.states.retain(endpoints.keys)
             load.states.paused.endPassed(monotonicClock()) { endpoints[it]?.entry?.startedAtMs }
@@ -204,6 +216,7 @@
         val limits = table.limits
         connectionLimits =
             ConnectionLimits(limits.headerBytes, limits.bodyBytes, limits.headerTimeoutMs, limits.idleTimeoutMs)
+                .within(settings.callerMemory)
     }
 
     private fun onControlRequest(request: ControlRequest): CompletableFuture<ControlResponse> {
@@ -219,3 +232,6 @@
         return CompletableFuture.completedFuture(response)
     }
 }
+
+private fun readinessLimits(settings: RelaySettings) =
+    ControlLimits(connections = settings.maximumReadinessConnections, bodyBytes = READINESS_BODY_BYTES)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelaySettings.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelaySettings.kt
@@ -8,6 +8,10 @@
 /** Connections stay open up to four fifths of it; each request on them needs a socket to an endpoint besides. */
 private const val CALLER_SOCKET_FRACTION = 0.55
 private const val IDLE_SOCKET_FRACTION = 0.15
+private const val READINESS_SOCKET_FRACTION = 0.05
+
+/** More than balancers, operators and collectors of metrics open together. */
+private const val READINESS_CONNECTIONS = 32
 
 /**
  * Holds the limits that a deployment configures.
@@ -47,6 +51,21 @@
  */
 public data class RelayFeatures(val rollouts: Boolean = false, val contention: Boolean = false)
 
+/**
+ * Limits what callers may take of the process beside bodies. Each has a default that no caller within the documented
+ * limits reaches alone.
+ *
+ * @property headMemoryBytes what the decoded heads of all callers may take; null for an eighth of the heap.
+ * @property waitingMemoryBytes what all callers may have waiting to be decoded or read; null for a third of the direct
+ *   memory.
+ * @property headLines the lines that one head may have; null for as many as fit into the maximum size of a head.
+ */
+public data class CallerMemorySettings(
+    val headMemoryBytes: Long? = null,
+    val waitingMemoryBytes: Long? = null,
+    val headLines: Int? = null,
+)
+
 /**
  * Configures a router that relays requests according to a routing table.
  *
@@ -56,6 +75,7 @@
  * @property readinessPath the path of the readiness check.
  * @property peers the UDP listening address for the digests of peers.
  * @property maximumSockets the sockets that the process may have open, or null if there is no such limit.
+ * @property callerMemory what callers may take of the process.
  * @property features the parts of the product that the deployment asks for.
  */
 public data class RelaySettings(
@@ -69,11 +89,17 @@
     val bounds: RelayBounds = RelayBounds(),
     val maximumSockets: Int? = null,
     val features: RelayFeatures = RelayFeatures(),
+    val callerMemory: CallerMemorySettings = CallerMemorySettings(),
 ) {
     /** The connections of callers that may be open at once; the rest is for endpoints, peers and the store. */
     val maximumCallerConnections: Int
         get() = maximumSockets?.let { (it * CALLER_SOCKET_FRACTION).toInt() } ?: Int.MAX_VALUE
 
+    /** The connections to the readiness port that may be open at once. */
+    val maximumReadinessConnections: Int
+        get() = maximumSockets?.let { (it * READINESS_SOCKET_FRACTION).toInt() }?.coerceIn(1, READINESS_CONNECTIONS)
+            ?: READINESS_CONNECTIONS
+
     /** The idle connections to endpoints that are kept at once. */
     val maximumIdleEndpointConnections: Int
         get() = maximumSockets?.let { (it * IDLE_SOCKET_FRACTION).toInt() } ?: Int.MAX_VALUE
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/ResponseDelivery.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/ResponseDelivery.kt
@@ -94,8 +94,8 @@
 
     override fun onContent(data: ByteBuf): String? {
         body.writeBytes(data, data.readerIndex(), data.readableBytes())
-        val bytes = body.readableBytes()
-        val mayHold = !call.responseStarted && bytes <= MAXIMUM_BUFFERED_BYTES && held.tryHold(bytes)
+        val fits = body.readableBytes() <= MAXIMUM_BUFFERED_BYTES
+        val mayHold = !call.responseStarted && fits && held.tryHold(body.capacity())
         if (!mayHold) sendBody()
         return null
     }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/ResponseMemory.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/ResponseMemory.kt
@@ -1,6 +1,7 @@
 package corneltrack.router.relay
 
-/** An eighth of the heap of 64 MiB that the router is deployed with. */
+/** 8 MiB of the heap of 64 MiB that the router is deployed with. */
+private const val HELD_HEAP_FRACTION = 0.125
 private const val MAXIMUM_HELD_BYTES = 8L * 1024 * 1024
 
 /**
@@ -8,7 +9,7 @@
  * events without an end. Answers faulty endpoints that send without end over many connections. Confined to the event
  * loop.
  */
-internal class ResponseMemory(private val maximumBytes: Long = MAXIMUM_HELD_BYTES) {
+internal class ResponseMemory(private val maximumBytes: Long = defaultMaximumBytes()) {
     /** The bytes held by all responses. */
     var heldBytes: Long = 0
         private set
@@ -37,3 +38,6 @@
         }
     }
 }
+
+private fun defaultMaximumBytes(): Long =
+    minOf(MAXIMUM_HELD_BYTES, (Runtime.getRuntime().maxMemory() * HELD_HEAP_FRACTION).toLong())
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/callers/EncodedResponseTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/callers/EncodedResponseTest.kt
@@ -1,5 +1,6 @@
 package corneltrack.router.callers
 
+import corneltrack.wire.DecoderGate
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.embedded.EmbeddedChannel
@@ -11,6 +12,7 @@
 import kotlin.test.assertTrue
 
 private const val MAXIMUM_HEAD_BYTES = 1_024
+private const val MAXIMUM_HEAD_LINES = 100
 private const val TURNED_AWAY = "Come back later."
 
 class EncodedResponseTest {
@@ -46,7 +48,7 @@
     }
 
     private fun exchange(method: String, closes: Boolean): String {
-        val channel = EmbeddedChannel(StrictServerCodec(MAXIMUM_HEAD_BYTES))
+        val channel = EmbeddedChannel(StrictServerCodec(MAXIMUM_HEAD_BYTES, MAXIMUM_HEAD_LINES, OpenGate))
         channel.writeInbound(Unpooled.copiedBuffer("$method / HTTP/1.1\r\nhost: x\r\n\r\n", Charsets.US_ASCII))
         channel.writeOutbound(refusal.encoded(closes))
         return generateSequence { channel.readOutbound<ByteBuf>() }.joinToString("") { part ->
@@ -54,3 +56,11 @@
         }
     }
 }
+
+private object OpenGate : DecoderGate {
+    override val open: Boolean = true
+
+    override fun onHeldBack(bytes: Int) = Unit
+
+    override fun onHeadCost(costBytes: Int) = Unit
+}
--- a/corneltrack-wire/src/main/kotlin/corneltrack/wire/ControlServer.kt
+++ b/corneltrack-wire/src/main/kotlin/corneltrack/wire/ControlServer.kt
@@ -4,6 +4,7 @@
 import io.netty.buffer.ByteBufUtil
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInitializer
@@ -16,18 +17,18 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpContentCompressor
+import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpObjectAggregator
 import io.netty.handler.codec.http.HttpResponseStatus
-import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.TooLongHttpHeaderException
 import org.apache.logging.log4j.Level
 import org.apache.logging.log4j.LogManager
 import java.net.InetSocketAddress
 import java.security.MessageDigest
 
-private const val MAXIMUM_BODY_BYTES = 16 * 1024 * 1024
 private const val COMPRESSION_THRESHOLD_BYTES = 4_096
 private const val BEARER_PREFIX = "Bearer "
 private val logger = LogManager.getLogger("corneltrack.wire.ControlServer")
@@ -50,19 +51,27 @@
     /** The port that the server listens on. */
     public val port: Int get() = (channel?.localAddress() as InetSocketAddress).port
 
-    /** Starts to listen on [address] and returns this server. Fails if the address is in use. */
-    public fun start(address: HostAndPort): ControlServer {
+    /**
+     * Starts to listen on [address] and returns this server. Fails if the address is in use.
+     *
+     * @param limits what clients may take of the process.
+     */
+    public fun start(address: HostAndPort, limits: ControlLimits = ControlLimits()): ControlServer {
+        val connections = ControlConnections(limits.connections)
         val bootstrap = ServerBootstrap()
             .group(group)
             .channel(NioServerSocketChannel::class.java)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(child: SocketChannel) {
+                    val gate = ControlGate(child)
+                    connections.onOpened(child, gate::serving)
                     child.pipeline().addLast(
-                        HttpServerCodec(),
-                        HttpObjectAggregator(MAXIMUM_BODY_BYTES),
+                        GatedRequestDecoder(HttpDecoderConfig(), limits.headLines, gate),
+                        ControlResponseEncoder(gate),
+                        HttpObjectAggregator(limits.bodyBytes),
                         HttpContentCompressor(COMPRESSION_THRESHOLD_BYTES, StandardCompressionOptions.gzip()),
-                        RequestHandler(),
+                        RequestHandler(gate),
                     )
                 }
             })
@@ -74,7 +83,7 @@
         channel?.close()?.sync()
     }
 
-    private inner class RequestHandler : SimpleChannelInboundHandler<FullHttpRequest>() {
+    private inner class RequestHandler(private val gate: ControlGate) : SimpleChannelInboundHandler<FullHttpRequest>() {
         /** Whether the last secret sent on this connection was correct. */
         private var authenticated = false
 
@@ -87,11 +96,16 @@
         }
 
         override fun channelRead0(context: ChannelHandlerContext, message: FullHttpRequest) {
+            if (message.decoderResult().isFailure) {
+                context.respond(ControlResponse(unreadable(message)), null, keepAlive = false)
+                return
+            }
+            gate.onRequest(message.method())
             val keepAlive = HttpUtil.isKeepAlive(message)
             val call = message.headers().get(CALL_HEADER)
             if (!authorize(message)) {
                 val refusal = ControlResponse(HttpResponseStatus.UNAUTHORIZED, "{\"error\":\"a secret is required\"}")
-                context.respond(refusal, call, keepAlive)
+                context.respond(refusal, call, keepAlive).addListener { gate.onResponseWritten() }
                 return
             }
             val content = Content(ByteBufUtil.getBytes(message.content()))
@@ -105,7 +119,7 @@
                     }
                 }
                 val sent = response ?: ControlResponse(HttpResponseStatus.INTERNAL_SERVER_ERROR)
-                context.respond(sent, call, keepAlive)
+                context.respond(sent, call, keepAlive).addListener { gate.onResponseWritten() }
             }
         }
 
@@ -120,7 +134,18 @@
 public fun constantTimeEquals(one: String, other: String): Boolean =
     MessageDigest.isEqual(one.toByteArray(), other.toByteArray())
 
-private fun ChannelHandlerContext.respond(response: ControlResponse, call: String?, keepAlive: Boolean) {
+private fun unreadable(message: FullHttpRequest): HttpResponseStatus =
+    if (message.decoderResult().cause() is TooLongHttpHeaderException) {
+        HttpResponseStatus.REQUEST_HEADER_FIELDS_TOO_LARGE
+    } else {
+        HttpResponseStatus.BAD_REQUEST
+    }
+
+private fun ChannelHandlerContext.respond(
+    response: ControlResponse,
+    call: String?,
+    keepAlive: Boolean,
+): ChannelFuture {
     val payload = Unpooled.wrappedBuffer(response.content.bytes)
     val message = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, response.status, payload)
     message.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, payload.readableBytes())
@@ -131,4 +156,5 @@
     if (!keepAlive) {
         written.addListener(ChannelFutureListener.CLOSE)
     }
+    return written
 }
