Queue less for lower priorities, and share records and speeds where an endpoint states its pace

Priorities of routes and workspaces were read and used nowhere.

Endpoints that share their machines are found by the pace that one of them states. The engines of the same deployment differ in speed as well and may state none: their learnt speeds are then shared too, and routers of a large region send each other the store's records.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallHandler.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallHandler.kt
@@ -133,6 +133,7 @@
             times = callTimes(metadata, admission),
             message = CallerMessage(head.method(), head.uri(), head.headers(), request.body),
             sink = sink,
+            priority = admission.workspace?.priority ?: admission.route.priority,
         )
     }
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointState.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointState.kt
@@ -119,6 +119,16 @@
     /** The requests that were sent to an endpoint to learn how fast it is. */
     val exploredRequests: Long get() = pools.values.sumOf { it.exploredRequests }
 
+    /** Whether an endpoint of the deployment has stated its pace. */
+    var paceStated: Boolean = false
+        private set
+
+    /** Takes the endpoints of all pools to be unequal once an endpoint of one has stated its pace. */
+    fun updatePaceStated() {
+        paceStated = pools.values.any { it.speeds.shared }
+        if (paceStated) pools.values.forEach { it.speeds.onPaceStated() }
+    }
+
     /** Returns the states of all endpoints. */
     fun all(): Map<EndpointId, EndpointState> = states
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EngineChooser.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EngineChooser.kt
@@ -9,6 +9,7 @@
 import corneltrack.policy.placement.SizeClassAssignment
 import corneltrack.policy.placement.admissionLimits
 import corneltrack.policy.placement.placeGeneration
+import corneltrack.policy.placement.ranked
 import corneltrack.policy.placement.retentionMs
 import corneltrack.world.EndpointId
 import corneltrack.world.routing.EngineProfile
@@ -65,7 +66,9 @@
         if (call.responseStarted) return PlacementRequest(generation, timeLeftMs, timeLeftMs, timeLeftMs)
         val elapsedMs = call.times.earlierWaitMs + nowMs - call.times.arrivedMs
         val fairShareRatio = call.workspace?.let { shares.fairShareRatio(it, nowMs) } ?: 0.0
-        val limits = admissionLimits(call.route.objectiveMs, elapsedMs, fairShareRatio)
+        val priorities = routingState.table?.streamPriorities(call.pool.id).orEmpty()
+        val limits =
+            admissionLimits(call.route.objectiveMs, elapsedMs, fairShareRatio).ranked(call.priority, priorities)
         val contended = shares.view(nowMs).contended
         call.fairShareRatio = fairShareRatio.takeIf { contended }
         val missWeight = if (contended) limits.missWeight else 1.0
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
@@ -41,6 +41,7 @@
 
 /** The routers of a region up to which each of them reads the changes of the store's topics. */
 private const val MAXIMUM_READING_ROUTERS = 8
+
 /** Anyone can send datagrams, so that the lines about unreadable ones in one second need a bound. */
 private const val MAXIMUM_UNREADABLE_LINES = 10
 private const val LOG_WINDOW_MS = 1_000L
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerTable.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerTable.kt
@@ -124,12 +124,12 @@
         return true
     }
 
-    private fun decodeRecord(value: ByteArray): PeerRecord? = try {
-        peerJson.decodeFromString<PeerRecord>(String(value, Charsets.UTF_8))
-    } catch (fault: SerializationException) {
-        logger.event("peer_record_unreadable", Level.WARN) { field("reason", fault.message) }
-        null
-    }
-
     private fun PeerRecord.isInRegion() = settings.regions[DataCentreId(dataCentre)] == settings.region
 }
+
+private fun decodeRecord(value: ByteArray): PeerRecord? = try {
+    peerJson.decodeFromString<PeerRecord>(String(value, Charsets.UTF_8))
+} catch (fault: SerializationException) {
+    logger.event("peer_record_unreadable", Level.WARN) { field("reason", fault.message) }
+    null
+}
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
@@ -193,7 +193,8 @@
     }
 
     /** Whether a part of the product is in use under which the store's topics change often. */
-    private fun sharesRecords() = settings.features.rollouts || settings.features.contention
+    private fun sharesRecords() =
+        settings.features.rollouts || settings.features.contention || load.states.paceStated
 
     private fun sampleLag() {
         val nowMs = monotonicClock()
@@ -207,6 +208,7 @@
         try {
             routingState.expire()
             metrics.onHeldBytes(connections.bodyMemory.heldBytes, context.responseMemory.heldBytes)
+            load.states.updatePaceStated()
             paceMetrics.update(load.states, monotonicClock())
             metrics.callers.onHeldBytes(connections.memory)
             val endpoints = routingState.directory.endpoints
--- a/corneltrack-world/src/main/kotlin/corneltrack/world/routing/RoutingTable.kt
+++ b/corneltrack-world/src/main/kotlin/corneltrack/world/routing/RoutingTable.kt
@@ -3,6 +3,7 @@
 import corneltrack.world.PoolId
 import corneltrack.world.RegionId
 import corneltrack.world.WorkspaceId
+import java.util.TreeSet
 
 /**
  * Describes the model engines of a pool.
@@ -83,6 +84,14 @@
     private val workspacesByKey: Map<String, RoutedWorkspace> =
         workspaces.flatMap { workspace -> workspace.keys.map { it to workspace } }.toMap()
 
+    private val streamPriorities: Map<PoolId, Set<Int>> by lazy(LazyThreadSafetyMode.NONE) {
+        val priorities = HashMap<PoolId, TreeSet<Int>>()
+        routes.filter { it.responseMode == ResponseMode.EVENT_STREAM }.forEach { route ->
+            route.pools.forEach { priorities.getOrPut(it.pool) { TreeSet() } += prioritiesOf(route) }
+        }
+        priorities
+    }
+
     /** Whether requests need an API key unless their route is public. */
     val keysRequired: Boolean get() = workspaces.isNotEmpty()
 
@@ -90,6 +99,14 @@
     public fun routeFor(host: String, path: String): Route? =
         routesByHost[host]?.firstOrNull { path.startsWith(it.pathPrefix) }
 
+    /** Returns the priorities of the streams of [pool], the highest first; a workspace's goes before its route's. */
+    public fun streamPriorities(pool: PoolId): Set<Int> = streamPriorities[pool].orEmpty()
+
+    private fun prioritiesOf(route: Route): List<Int> {
+        val ofWorkspaces = if (route.public) emptyList() else workspaces.map { it.priority ?: route.priority }
+        return ofWorkspaces.ifEmpty { listOf(route.priority) }
+    }
+
     /** Returns the workspace that the API [key] identifies, or null if the key is unknown. */
     public fun workspaceForKey(key: String): RoutedWorkspace? = workspacesByKey[key]
 }
--- a/corneltrack-world/src/test/kotlin/corneltrack/world/routing/TableCheckTest.kt
+++ b/corneltrack-world/src/test/kotlin/corneltrack/world/routing/TableCheckTest.kt
@@ -122,6 +122,19 @@
     fun `a pool that no route leads to is a warning`() =
         assertFindings("warning: pool engines: no route leads to it", table.copy(routes = listOf(order)))
 
+    // Guards against ranks among streams because of requests that take no room at engines.
+    @Test
+    fun `only the priorities of streams count, and a workspace's goes before its route's`() {
+        val urgent = workspace.copy(id = WorkspaceId("v"), keys = setOf("other"), priority = 0)
+        val plain = order.copy(pools = draft.pools, public = true)
+        val open = draft.copy(name = "open", public = true, priority = 3)
+        val mixed = table.copy(routes = listOf(plain, open, draft), workspaces = listOf(workspace, urgent))
+
+        assertEquals(setOf(0, 1, 3), mixed.streamPriorities(engines.id))
+        assertEquals(setOf(1), table.streamPriorities(engines.id))
+        assertEquals(emptySet(), table.streamPriorities(desk.id))
+    }
+
     @Test
     fun `changes name what is added, removed and altered and no key`() {
         val proposed = table.copy(
