--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/ChangeJournalTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/ChangeJournalTest.kt
@@ -1,6 +1,9 @@
 package corneltrack.router.relay
 
 import corneltrack.policy.discovery.ClockReading
+import corneltrack.policy.discovery.TopicWatermark
+import corneltrack.wire.wireProtobuf
+import kotlinx.serialization.encodeToByteArray
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
@@ -23,6 +26,21 @@
         assertTrue(batches.all { it.bytes <= 12_000 })
     }
 
+    @Test
+    fun `a digest with many short records fits into a datagram`() {
+        (0L until 300L).forEach { journal.add(record(it), nowMs) }
+        val watermarks = listOf("operator", "endpoints", "peers").associateWith {
+            TopicWatermark(Long.MAX_VALUE, Long.MAX_VALUE, Long.MAX_VALUE, Long.MAX_VALUE, Long.MAX_VALUE)
+        }
+
+        val sizes = journal.batches(end = Long.MAX_VALUE, nowMs).map {
+            val digest = PeerDigest("router", watermarks = watermarks, records = SharedRecords("endpoints", it))
+            wireProtobuf.encodeToByteArray(digest).size
+        }
+
+        assertTrue(sizes.all { it <= 16_384 }, "sizes $sizes")
+    }
+
     // A batch across a record that was left out would hide that record from the receiver.
     @Test
     fun `no batch spans a record that is too large for a datagram`() {
