Follow roll-outs in the router: versions, evidence, reports and statuses

Operators order that a pool's traffic move to another version. Each router now filters its attempts by the versions in force, sends its share of a trial to the target version, gathers evidence where attempts end, exchanges it with its peers in datagrams of their own, and writes statuses under the condition that the topic ends where it has read.

Keys of statuses no longer reach the table of peers, which took any record of the status topic for an announcement. Deployments without the contract keep AllVersions, which allows every version.

--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/AttemptEvidence.kt
@@ -0,0 +1,80 @@
+package corneltrack.router.relay
+
+import corneltrack.policy.rollout.RolloutResponse
+import corneltrack.router.relay.rollout.PoolPace
+import corneltrack.router.relay.rollout.VersionControl
+
+/** The shortest expected time to a response and between events, in ms; keeps ratios finite. */
+private const val MINIMUM_EXPECTED_MS = 1.0
+
+/**
+ * Reports one attempt as evidence about the version of its endpoint, with the observed times divided by those that the
+ * pool's other endpoints would take. All times are in ms of the monotonic clock.
+ */
+internal class AttemptEvidence(
+    private val call: RelayedCall,
+    private val target: Target,
+    private val versions: VersionControl,
+) {
+    private val pool = target.endpoint.pool
+    private val version = target.version.name
+    private var beganMs = 0L
+    private var sentMs = 0L
+    private var firstEventMs: Long? = null
+    private var lastEventMs = 0L
+    private var events = 0
+    private var reported = false
+
+    /** Records that the attempt begins. */
+    fun onBegin(nowMs: Long) {
+        beganMs = nowMs
+        versions.onBegin(pool, version, nowMs)
+    }
+
+    /** Records that the request is sent. */
+    fun onSent(nowMs: Long) {
+        sentMs = nowMs
+        versions.onSent(pool, version)
+    }
+
+    /** Records an event of the response. */
+    fun onEvent(nowMs: Long) {
+        events++
+        if (firstEventMs == null) firstEventMs = nowMs
+        lastEventMs = nowMs
+    }
+
+    /** Records a response that is no failure of the endpoint; its times count if it is [timed]. */
+    fun onResponse(nowMs: Long, timed: Boolean) {
+        val pace = target.version.pace.takeIf { timed }
+        val ratio = pace?.let { firstRatio(it, firstEventMs ?: nowMs) }
+        report(RolloutResponse(version, call.route.name, failed = false, ratio, pace?.let(::pauseRatio)))
+    }
+
+    /** Records a failure of the endpoint. */
+    fun onFailure() = report(RolloutResponse(version, call.route.name, failed = true, null, null))
+
+    /** Records that the time for the response is over; a failure if nothing came for [stallMs] after [progressMs]. */
+    fun onTimeout(progressMs: Long, stallMs: Long, nowMs: Long) {
+        if (nowMs - progressMs >= stallMs) onFailure()
+    }
+
+    /** Records that the attempt has ended. */
+    fun onEnd(nowMs: Long) = versions.onEnd(pool, version, nowMs - beganMs)
+
+    private fun report(response: RolloutResponse) {
+        if (!reported) versions.onResponse(pool, response)
+        reported = true
+    }
+
+    private fun firstRatio(pace: PoolPace, atMs: Long): Double {
+        val expectedMs = (target.expected.waitMs - target.networkDelayMs) * pace.speedFactor + target.networkDelayMs
+        return (atMs - sentMs) / maxOf(MINIMUM_EXPECTED_MS, expectedMs)
+    }
+
+    private fun pauseRatio(pace: PoolPace): Double? {
+        val first = firstEventMs?.takeIf { events > 1 } ?: return null
+        val expectedMs = pace.pauseMs * (call.pool.engine?.tokensPerEvent ?: 1)
+        return (lastEventMs - first).toDouble() / (events - 1) / maxOf(MINIMUM_EXPECTED_MS, expectedMs)
+    }
+}
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallRunner.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallRunner.kt
@@ -53,7 +53,8 @@
         context.eventLog.attemptEnded(call, attempt.target, result)
         context.metrics.onAttemptFailed(result)
         call.triedEndpoints += attempt.target.endpoint.id
-        if (result is RelayAttemptResult.Broken && result.connectionLost) {
+        val trialVersion = context.versions.isOnTrial(call.pool.id, attempt.target.version.name)
+        if (result is RelayAttemptResult.Broken && result.connectionLost && !trialVersion) {
             context.suspects.onBroken(call, attempt.target.endpoint.id)
             if (!attempt.answering) context.partSuspects.onCrash(call, attempt.target)
         }
@@ -98,6 +99,7 @@
     private fun onTimeout() {
         if (call.finished) return
         val mayHaveRun = attempt?.sent == true || call.mayHaveRun
+        attempt?.onTimeout()
         closeAttempt()
         if (mayHaveRun) {
             completion.refuseUnknown(HttpResponseStatus.GATEWAY_TIMEOUT, "timeout")
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EligibleEndpoints.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EligibleEndpoints.kt
@@ -6,6 +6,8 @@
 import corneltrack.policy.limits.FleetPosition
 import corneltrack.policy.limits.FleetRateLimit
 import corneltrack.policy.limits.retryAfterPauseMs
+import corneltrack.router.relay.rollout.VersionControl
+import corneltrack.router.relay.rollout.VersionFilter
 import corneltrack.world.routing.RoutedPool
 import java.util.concurrent.ThreadLocalRandom
 
@@ -33,6 +35,9 @@
     /** The endpoint takes only a limited rate of requests, and this router has none left now. */
     AT_LIMIT,
 
+    /** The endpoint's version is not in force, or it is on trial and the attempt is not part of that. */
+    VERSION,
+
     /** The endpoint is cold, and it is not this router's turn there. */
     COLD,
 }
@@ -55,6 +60,7 @@
 /**
  * Selects the endpoints that may serve an attempt. Confined to the event loop.
  *
+ * @param versions says which versions are in force.
  * @param fleet returns this router's place among the listed routers, or null while their list has not been read.
  */
 internal class EligibleEndpoints(
@@ -62,17 +68,18 @@
     private val routingState: RoutingState,
     private val states: EndpointStates,
     private val clock: Clocks,
+    private val versions: VersionControl,
     private val fleet: () -> FleetPosition?,
 ) {
     /**
-     * Returns the allowed endpoints for the next attempt of [call]; leaves out ejected ones and then cold ones as long
-     * as others remain.
+     * Returns the allowed endpoints for the next attempt of [call] among those that [inForce] accepts; leaves out
+     * ejected ones and then cold ones as long as others remain.
      */
-    fun forCall(call: RelayedCall, nowMs: Long): Eligibility {
+    fun forCall(call: RelayedCall, nowMs: Long, inForce: VersionFilter): Eligibility {
         val position = fleet()
         val reasons = HashMap<Ineligibility, Int>()
         val inPool = routingState.directory.inPool(call.pool.id)
-        val allowed = inPool.filterNot { exclude(exclusion(call, it, position, nowMs), reasons) }
+        val allowed = inPool.filterNot { exclude(exclusion(call, it, position, nowMs, inForce), reasons) }
         val healthy = allowed.filterNot { states.of(it).health.isEjected(nowMs) }
         val usable = healthy.ifEmpty { allowed }
         val warm = usable.filter { it.coldUntilMs <= nowMs }
@@ -92,8 +99,9 @@
      */
     fun pausedRetryAfterMs(call: RelayedCall, nowMs: Long): Long? {
         val position = fleet()
+        val inForce = versions.regular(call.pool.id, nowMs)
         val exclusions =
-            routingState.directory.inPool(call.pool.id).groupBy { exclusion(call, it, position, nowMs) }
+            routingState.directory.inPool(call.pool.id).groupBy { exclusion(call, it, position, nowMs, inForce) }
         if (RETURNING.any { it in exclusions }) return null
         val remainingMs = exclusions[Ineligibility.PAUSED]?.minOf { states.pauseRemainingMs(it, nowMs) }
         return remainingMs?.let { retryAfterPauseMs(it, ThreadLocalRandom.current().nextDouble()) }
@@ -117,10 +125,12 @@
         known: KnownEndpoint,
         position: FleetPosition?,
         nowMs: Long,
+        inForce: VersionFilter,
     ): Ineligibility? {
         val endpoint = known.entry.endpoint
         return when {
             !known.entry.live || states.isLeaving(known) -> Ineligibility.LEAVING
+            !inForce(known) -> Ineligibility.VERSION
             endpoint.dataCentre in routingState.evacuated -> Ineligibility.EVACUATED
             call.regions.isNotEmpty() && settings.regions[endpoint.dataCentre] !in call.regions ->
                 Ineligibility.OUTSIDE_REGIONS
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointAttempt.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointAttempt.kt
@@ -59,6 +59,7 @@
             Listener(),
         )
     private val timing = EventTiming(call, target, context.transfers)
+    private val evidence = AttemptEvidence(call, target, context.versions)
     private var delivery: ResponseDelivery? = null
     private var notRun = false
     private var pauseStated = false
@@ -78,6 +79,7 @@
 
     /** Sends the request; watches for stalls where another endpoint could resume the stream. */
     fun start() {
+        evidence.onBegin(context.nowMs())
         val maximumIdleMs = if (call.route.idempotent) IDEMPOTENT_MAXIMUM_IDLE_MS else AT_MOST_ONCE_MAXIMUM_IDLE_MS
         exchange.start(maximumIdleMs, context.nowMs())
         if (call.route.resumable && call.route.responseMode == ResponseMode.EVENT_STREAM) checkStallAfter(stallLimitMs)
@@ -103,6 +105,7 @@
     }
 
     private fun giveUp(signal: EndpointSignal?, result: RelayAttemptResult) {
+        if (signal != null || status != null) evidence.onFailure()
         exchange.cancel()
         context.connections.discard(target.endpoint.id)
         fail(signal, result)
@@ -116,12 +119,12 @@
     /** Status 421 means that the endpoint has left its address, other refusals that it is full or failing. */
     private fun failNotRun(code: Int) {
         val misdirected = code == HttpResponseStatus.MISDIRECTED_REQUEST.code()
-        val signal = if (misdirected) EndpointSignal.UNREACHABLE else failureSignal()
+        val signal = if (misdirected) EndpointSignal.UNREACHABLE else failureSignal
         fail(signal, RelayAttemptResult.NotRun(code))
     }
 
     /** An endpoint that says for how long it wants nothing is not ejected beyond that. */
-    private fun failureSignal() = EndpointSignal.FAILED.takeUnless { pauseStated }
+    private val failureSignal get() = EndpointSignal.FAILED.takeUnless { pauseStated }
 
     /** Delivers the rest of the complete response to the caller. */
     fun deliver() = delivery?.deliver()
@@ -137,6 +140,13 @@
             target.state.service.onEnd()
         }
         delivery?.close()
+        evidence.onEnd(context.nowMs())
+    }
+
+    /** Records that the time for the response is over; an endpoint that has sent nothing for long has stalled. */
+    fun onTimeout() {
+        val stallMs = maxOf(stallLimitMs, call.route.objectiveMs)
+        if (sent) evidence.onTimeout(timing.lastProgressMs, stallMs, context.nowMs())
     }
 
     /** Pauses or resumes reading from the endpoint. */
@@ -153,6 +163,7 @@
             this@EndpointAttempt.reused = reused
             sent = true
             timing.onSent(context.nowMs())
+            evidence.onSent(context.nowMs())
             call.attempts++
             return call.messageTo(target, context)
         }
@@ -187,6 +198,7 @@
 
         private fun onEvent() {
             timing.onEvent(context.nowMs())
+            evidence.onEvent(context.nowMs())
             if (answering) context.partSuspects.onAnswered(call)
         }
 
@@ -208,8 +220,9 @@
                 code < FIRST_REDIRECT || startedHere -> onSuccess()
                 else -> {
                     val failing = code >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code()
+                    if (failing) evidence.onFailure() else evidence.onResponse(context.nowMs(), timed = false)
                     val result = RelayAttemptResult.Failed(code, call.responseStarted)
-                    fail(if (failing) failureSignal() else EndpointSignal.GOOD, result)
+                    fail(if (failing) failureSignal else EndpointSignal.GOOD, result)
                 }
             }
         }
@@ -232,6 +245,7 @@
             if (call.route.responseMode == ResponseMode.COMPLETE) {
                 target.state.service.onResponse(timing.processingMs(context.nowMs()))
             }
+            evidence.onResponse(context.nowMs(), timed = true)
             context.onHealthSignal(target, EndpointSignal.GOOD)
             owner.onCompleted(this@EndpointAttempt)
         }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EngineChooser.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EngineChooser.kt
@@ -25,12 +25,17 @@
 /** A single prompt of this length lengthens the pauses of other streams on the same engine. */
 private const val LONG_PROMPT_TOKENS = 24_000
 
-/** Chooses the engine of an attempt among the eligible ones. Confined to the event loop. */
+/**
+ * Chooses the engine of an attempt among the eligible ones. Confined to the event loop.
+ *
+ * @param versionOf returns the version of a chosen engine.
+ */
 internal class EngineChooser(
     private val settings: RelaySettings,
     private val routingState: RoutingState,
     private val load: FleetLoad,
     private val endpoints: EligibleEndpoints,
+    private val versionOf: (KnownEndpoint) -> TargetVersion,
 ) {
     private val shares = load.shares
     private val sizeClasses = SizeClassAssignment(listOf(MEDIUM_PROMPT_TOKENS, LONG_PROMPT_TOKENS))
@@ -99,7 +104,8 @@
         state.prefixes.onSent(generation.segments, nowMs, caching.retentionMs)
         val source = transfer?.let { PrefixSource(known.getValue(it.source.id).entry.endpoint, it) }
         val expected = ExpectedCost(expectedWaitMs, prefillTokens, missedTokens)
-        return Target(engine.entry.endpoint, state, engineRequest, candidate.networkDelayMs, expected, source)
+        val version = versionOf(engine)
+        return Target(engine.entry.endpoint, state, engineRequest, candidate.networkDelayMs, expected, source, version)
     }
 
     private fun KnownEndpoint.candidate(profile: EngineProfile, classesAbove: Int): EngineCandidate {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerDigest.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerDigest.kt
@@ -4,6 +4,10 @@
 import corneltrack.policy.PartAnswered
 import corneltrack.policy.Suspicion
 import corneltrack.policy.discovery.TopicWatermark
+import corneltrack.policy.rollout.BadReason
+import corneltrack.policy.rollout.EvidenceSnapshot
+import corneltrack.policy.rollout.RolloutPhase
+import corneltrack.world.PoolId
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.protobuf.ProtoIntegerType
 import kotlinx.serialization.protobuf.ProtoPacked
@@ -58,10 +62,29 @@
 @Serializable
 internal data class WorkspaceDigest(val requested: Long, val granted: Long, val attempted: Long = requested)
 
+/**
+ * What a router reports of the roll-out of one pool.
+ *
+ * @property orderId the order that the report is about.
+ * @property phase the phase that the router knows, or null if it knows no status of the order.
+ * @property oldRequests the requests that it has or may still send at endpoints of other versions than the target.
+ * @property bad why the router holds the target version for bad, or null if it does not.
+ * @property evidence the router's own counters, or null if it has none.
+ */
+@Serializable
+internal data class RolloutDigest(
+    val pool: PoolId,
+    val orderId: Long,
+    val phase: RolloutPhase? = null,
+    val oldRequests: Int = 0,
+    val bad: BadReason? = null,
+    val evidence: EvidenceSnapshot? = null,
+)
+
 /**
  * A datagram from a router to its peers.
  *
- * Carries either its load, its crash suspicions, its reports on parts of prompts or its watermarks.
+ * Carries either its load, its crash suspicions, its reports on parts of prompts, its watermarks or its roll-outs.
  *
  * @property sender the ID of the router.
  * @property endpoints the load on each endpoint in use, by endpoint ID.
@@ -70,6 +93,7 @@
  * @property answered suspected parts of prompts that have been answered since.
  * @property router how loaded the router itself is; null in digests of routers that do not report it.
  * @property watermarks how far the router has read each topic of the store, by topic name.
+ * @property rollouts the roll-outs that are open; empty in fleets that have none.
  */
 @Serializable
 internal data class PeerDigest(
@@ -81,9 +105,11 @@
     val crashes: List<CrashReport> = emptyList(),
     val answered: List<PartAnswered> = emptyList(),
     val router: RouterDigest? = null,
+    val rollouts: List<RolloutDigest> = emptyList(),
 ) {
     val carriesLoad: Boolean
-        get() = suspicions.isEmpty() && watermarks.isEmpty() && crashes.isEmpty() && answered.isEmpty()
+        get() = suspicions.isEmpty() && watermarks.isEmpty() && crashes.isEmpty() && answered.isEmpty() &&
+            rollouts.isEmpty()
 }
 
 /**
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
@@ -41,18 +41,31 @@
 private val logger = LogManager.getLogger("corneltrack.router.relay.PeerExchange")
 internal val peerJson: Json = Json { ignoreUnknownKeys = true }
 
+/**
+ * What the roll-outs take from the peers and their topic.
+ *
+ * @property takesRecord handles a record of the peers' topic if it is the status of a roll-out; returns whether it is.
+ * @property onDigest handles a peer's reports.
+ */
+internal class RolloutInbox(
+    val takesRecord: (KeyedRecord) -> Boolean = { false },
+    val onDigest: (peer: InstanceId, digests: List<RolloutDigest>) -> Unit = { _, _ -> },
+)
+
 /**
  * The state of a router that it exchanges with its peers.
  *
  * @property load the load of this router and, from digests, of its peers.
  * @property partSuspects the parts of prompts under which endpoints crash.
  * @property followers returns the followers of all topics but that of the peers.
+ * @property rollouts takes what concerns roll-outs.
  * @property routerLoad returns how loaded this router is.
  */
 internal class SharedState(
     val load: FleetLoad,
     val partSuspects: PartSuspects,
     val followers: () -> List<TopicFollower>,
+    val rollouts: RolloutInbox = RolloutInbox(),
     val routerLoad: () -> RouterDigest,
 )
 
@@ -77,11 +90,16 @@
     private val peerLoads = PeerLoads(load)
     private val peers = PeerTable(settings)
     private val follower =
-        TopicFollower(FollowedTopic("peers", topic, PEER_POLL_TIMING), loop, clock, ::rank, peers::onRecord)
+        TopicFollower(FollowedTopic("peers", topic, PEER_POLL_TIMING), loop, clock, ::rank) { record ->
+            shared.rollouts.takesRecord(record) || peers.onRecord(record)
+        }
     private val watermarks = WatermarkExchange(clock) { shared.followers() + follower }
     private val sender = DigestSender(settings.id, shared)
     private var digestNumber = 0L
 
+    /** The peers, for parts of the router that have messages of their own. */
+    val link = PeerLink(FollowedKeyedTopic(topic, follower), peers, sender)
+
     /** The number of peers that have announced themselves in the store. */
     val known: Int get() = peers.all.size
 
@@ -140,6 +158,7 @@
         digest.suspicions.forEach(onSuspicion)
         watermarks.onPeer(digest.watermarks)
         shared.partSuspects.onPeer(digest)
+        if (digest.rollouts.isNotEmpty()) shared.rollouts.onDigest(peer, digest.rollouts)
         if (digest.carriesLoad) peerLoads.onDigest(peer, digest, nowMs)
     }
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerTable.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerTable.kt
@@ -21,8 +21,6 @@
 /** Peers of other regions receive at most every third digest, since traffic between regions is billed. */
 private const val CROSS_REGION_INTERVAL = 3
 
-/** The time without a digest after which a router counts as unresponsive, in ms; tolerates a few lost datagrams. */
-private const val DIGEST_TIMEOUT_MS = 1_500L
 private val logger = LogManager.getLogger("corneltrack.router.relay.PeerTable")
 
 /**
@@ -40,6 +38,7 @@
     private val peers = LinkedHashMap<InstanceId, PeerRecord>()
     private val lastDigestMs = HashMap<InstanceId, Long>()
     private val routerLoads = HashMap<InstanceId, RouterDigest>()
+    private val firstAskedMs = HashMap<InstanceId, Long>()
 
     /** All known peers. */
     val all: Collection<PeerRecord> get() = peers.values
@@ -77,6 +76,12 @@
             isResponsive(id, nowMs)
     }
 
+    /** Returns when each known peer was last heard. */
+    fun contacts(nowMs: Long): List<PeerContact> = peers.keys.map { id ->
+        val heardMs = lastDigestMs[id]
+        PeerContact(id, nowMs - (heardMs ?: firstAskedMs.getOrPut(id) { nowMs }), heardMs != null)
+    }
+
     /** Returns the peers that receive digest [number], counted from the start of the process. */
     fun recipients(number: Long): Recipients {
         val (inRegion, crossRegion) = all.partition { it.isInRegion() }
@@ -100,6 +105,7 @@
         if (peer == null) {
             lastDigestMs.remove(id)
             routerLoads.remove(id)
+            firstAskedMs.remove(id)
         }
         logger.event(if (peer == null) "peer_left" else "peer_found") {
             field("peer", id)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayContext.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayContext.kt
@@ -9,6 +9,8 @@
 import corneltrack.policy.limits.StatedPause
 import corneltrack.policy.placement.TransferSuccess
 import corneltrack.router.EndpointConnections
+import corneltrack.router.relay.rollout.AllVersions
+import corneltrack.router.relay.rollout.VersionControl
 import corneltrack.world.PoolId
 import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.HttpResponseStatus
@@ -33,6 +35,7 @@
     private val bounds: RelayBounds,
     private val eventLoopLag: EventLoopLag,
     private val monotonicMs: () -> Long,
+    val versions: VersionControl = AllVersions,
 ) {
     /** What responses hold that is not passed on yet. */
     val responseMemory = ResponseMemory()
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
@@ -12,6 +12,11 @@
 import corneltrack.router.callers.CallerServer
 import corneltrack.router.callers.ConnectionLimits
 import corneltrack.router.monotonicClock
+import corneltrack.router.relay.rollout.AllVersions
+import corneltrack.router.relay.rollout.RolloutContext
+import corneltrack.router.relay.rollout.RolloutMetrics
+import corneltrack.router.relay.rollout.Rollouts
+import corneltrack.router.relay.rollout.VersionControl
 import corneltrack.router.wallClock
 import corneltrack.wire.ControlRequest
 import corneltrack.wire.ControlResponse
@@ -58,16 +63,29 @@
     private val clock: Clocks = { ClockReading(monotonicClock(), wallClock()) }
     private val metrics = RelayMetrics()
     private val load = FleetLoad(EndpointStates(LeavingEndpoints(::onLeaving), PausedEndpoints(PauseRecorder(metrics))))
-    private val routingState = RoutingState(source, settings.bounds, loop, clock, { peers.rank() }, ::onTable)
+    private val routingCallbacks = RoutingCallbacks(::onTable) { pool, record ->
+        rollouts?.reader?.onOrder(pool, record) ?: logger.event("rollout_order_ignored") { field("pool", pool) }
+    }
+    private val routingState =
+        RoutingState(source, settings.bounds, loop, clock, { peers.rank() }, routingCallbacks)
+    private val rolloutInbox = RolloutInbox(
+        { record -> rollouts?.reader?.onRecord(record) ?: (source.rollouts?.statusPool(record.key) != null) },
+        { peer, digests -> rollouts?.reader?.onDigests(peer, digests) },
+    )
     private val suspects = CrashSuspects(wallClock) { peers.share(it) }
     private val partSuspects = PartSuspects(wallClock)
     private val eventLoopLag = EventLoopLag(LAG_SAMPLE_INTERVAL_MS)
     private val rotation = RotationControl(settings.id, eventLoopLag, { peers.rotationPeers() }) { peers.shareLoad() }
-    private val shared = SharedState(load, partSuspects, { routingState.followers }) {
+    private val shared = SharedState(load, partSuspects, { routingState.followers }, rolloutInbox) {
         RouterDigest(eventLoopLag.lagMs(monotonicClock()), rotation.inRotation)
     }
     private val peers: PeerExchange =
         PeerExchange(settings, source.peers, loop, clock, shared, suspects::onPeerSuspicion)
+    private val rollouts: Rollouts? = source.rollouts?.takeIf { settings.features.rollouts }?.let { records ->
+        val rolloutMetrics = RolloutMetrics(metrics.registry)
+        Rollouts(RolloutContext(settings, records, routingState, load.states, peers.link, clock, rolloutMetrics))
+    }
+    private val versions: VersionControl = rollouts?.control ?: AllVersions
     private val unmatchedResponses = UnmatchedResponseRecorder(metrics.registry)
     private val context = RelayContext(
         loop,
@@ -78,7 +96,7 @@
             settings.maximumIdleEndpointConnections,
             { unmatchedResponses.onUnrequestedData(it.id, monotonicClock()) },
         ) { _, _, _ -> },
-        TargetChooser(settings, routingState, load, clock) { peers.fleetPosition() },
+        TargetChooser(settings, routingState, load, clock, versions) { peers.fleetPosition() },
         RelayEventLog({ routingState.table?.version }, { routingState.endpointAgeMs() }),
         metrics,
         unmatchedResponses,
@@ -90,6 +108,7 @@
         settings.bounds,
         eventLoopLag,
         monotonicClock,
+        versions,
     )
     private val connections = CallerConnections(settings.maximumCallerConnections) { refusals.onBodyRefused(it) }
     private val loadReport = LoadReport(eventLoopLag, connections, load.shares, metrics)
@@ -110,6 +129,7 @@
             routingState.table != null &&
             routingState.endpointsLoaded &&
             !routingState.keysStale() &&
+            rollouts?.started != false &&
             rotation.inRotation
 
     /** Binds the listening addresses and starts to follow the store. Throws if an address is in use. */
@@ -119,6 +139,7 @@
         callers.start(settings.callers)
         peers.start()
         loop.execute(routingState::start)
+        rollouts?.start(loop)
         WarmUp(settings, routingState, headerMapping, eventLoopLag, clock, metrics::onWarmedUp).start(loop)
         loop.scheduleAtFixedRate(
             ::runMaintenance,
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RoutingState.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RoutingState.kt
@@ -3,6 +3,7 @@
 import corneltrack.policy.discovery.Clocks
 import corneltrack.policy.discovery.DirectoryChange
 import corneltrack.policy.discovery.EndpointDirectory
+import corneltrack.router.relay.rollout.RolloutRecords
 import corneltrack.wire.event
 import corneltrack.world.DataCentreId
 import corneltrack.world.EndpointId
@@ -42,23 +43,32 @@
  * @property operatorRecordKind returns the kind of an operator record by its key.
  * @property decodeTable decodes a routing table, or returns null if it is malformed.
  * @property decodeEndpoint decodes the record of an endpoint, or returns null if it does not describe one.
+ * @property rollouts decodes and encodes the records of roll-outs; null if the platform has none.
  */
-public class RoutingSource(
+public data class RoutingSource(
     public val operator: KeyedTopic,
     public val endpoints: KeyedTopic,
     public val peers: KeyedTopic,
     public val operatorRecordKind: (key: String) -> OperatorRecordKind,
     public val decodeTable: (ByteArray) -> RoutingTable?,
     public val decodeEndpoint: (key: String, value: ByteArray) -> EndpointEntry?,
+    public val rollouts: RolloutRecords? = null,
 )
 
+/**
+ * What follows a record of the operators.
+ *
+ * @property onTable called with each newer routing table.
+ * @property onOrder called with each record that orders a roll-out or, with a null value, ends it.
+ */
+internal class RoutingCallbacks(val onTable: (RoutingTable) -> Unit, val onOrder: (PoolId, KeyedRecord) -> Unit)
+
 /**
  * Caches the routing table, the evacuated data centres and the endpoints from the store, and tracks their age.
  *
  * Only used on the event loop.
  *
  * @param rank returns how many live routers of the region come before this one in the order of polling the store.
- * @param onTable called with each newer routing table.
  */
 internal class RoutingState(
     private val source: RoutingSource,
@@ -66,7 +76,7 @@
     loop: EventLoop,
     private val clock: Clocks,
     rank: () -> Int,
-    private val onTable: (RoutingTable) -> Unit,
+    private val callbacks: RoutingCallbacks,
 ) {
     private val operatorFollower = TopicFollower(
         FollowedTopic("operator", source.operator, OPERATOR_POLL_TIMING),
@@ -83,6 +93,9 @@
         ::onEndpointRecord,
     )
 
+    /** The operator topic and its follower. */
+    val operatorTopic: FollowedKeyedTopic get() = FollowedKeyedTopic(source.operator, operatorFollower)
+
     /** The followers of the operator and endpoint topics. */
     val followers: List<TopicFollower> get() = listOf(operatorFollower, endpointFollower)
 
@@ -120,7 +133,7 @@
         when (val kind = source.operatorRecordKind(record.key)) {
             OperatorRecordKind.Table -> record.value?.let(::onTableRecord)
             is OperatorRecordKind.Evacuation -> onEvacuation(kind.dataCentre, record.value != null)
-            is OperatorRecordKind.Rollout -> logger.event("rollout_order_ignored") { field("pool", kind.pool) }
+            is OperatorRecordKind.Rollout -> callbacks.onOrder(kind.pool, record)
             OperatorRecordKind.Unknown -> logger.event("operator_record_unknown") { field("key", record.key) }
         }
         return true
@@ -141,7 +154,7 @@
             field("workspaces", decoded.workspaces.size)
             field("age_ms", operatorAgeMs())
         }
-        onTable(decoded)
+        callbacks.onTable(decoded)
     }
 
     private fun onEvacuation(dataCentre: DataCentreId, active: Boolean) {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/StoreAvailability.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/StoreAvailability.kt
@@ -46,7 +46,7 @@
         get() = minOf(INITIAL_TIMEOUT_MS shl minOf(failures, MAXIMUM_DOUBLINGS), MAXIMUM_TIMEOUT_MS)
 
     /** The time since [servedAt], in ms. */
-    private val unservedMs: Long get() = servedAt?.let { clock().since(it) } ?: Long.MAX_VALUE
+    val unservedMs: Long get() = servedAt?.let { clock().since(it) } ?: Long.MAX_VALUE
 
     /** Records that all records of the topic have been loaded. */
     fun onLoaded() {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/Target.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/Target.kt
@@ -2,6 +2,7 @@
 
 import corneltrack.policy.placement.EngineRequest
 import corneltrack.policy.placement.PrefixTransfer
+import corneltrack.router.relay.rollout.PoolPace
 import corneltrack.world.Endpoint
 
 /**
@@ -20,20 +21,29 @@
  */
 internal class PrefixSource(val endpoint: Endpoint, val transfer: PrefixTransfer)
 
+/**
+ * The version of the chosen endpoint.
+ *
+ * @property pace the pace of the pool, or null where no evidence about versions is gathered.
+ */
+internal data class TargetVersion(val name: String, val pace: PoolPace? = null)
+
 /**
  * Holds the endpoint chosen for one attempt and the load that was added to its state.
  *
  * @property engineRequest the request as counted in the engine's load, or null where the endpoint is not an engine.
  * @property networkDelayMs the part of the time to the first event that the network takes, in ms.
  * @property prefixSource where the engine may copy the start of the prompt from, or null if it processes all of it.
+ * @property version the version of the endpoint's software.
  */
-internal class Target(
+internal data class Target(
     val endpoint: Endpoint,
     val state: EndpointState,
     val engineRequest: EngineRequest?,
     val networkDelayMs: Double,
     val expected: ExpectedCost,
     val prefixSource: PrefixSource? = null,
+    val version: TargetVersion = TargetVersion(""),
 )
 
 /** Describes the choice of an endpoint for an attempt. */
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicFollower.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicFollower.kt
@@ -34,6 +34,9 @@
  */
 internal data class FollowedTopic(val name: String, val topic: KeyedTopic, val timing: PollTiming)
 
+/** A topic and what follows it. */
+internal data class FollowedKeyedTopic(val topic: KeyedTopic, val follower: TopicFollower)
+
 /**
  * Follows a keyed topic: loads the newest record of each key, then reads the records that follow. Loads everything
  * again if the store has deleted the records to read next.
@@ -71,6 +74,12 @@
     /** The offset from which to read on. */
     private var nextOffset = 0L
 
+    /** The offset up to which this router has read the topic. */
+    val endOffset: Long get() = nextOffset
+
+    /** The time since the store is known to have served this router or a peer, in ms. */
+    val unservedMs: Long get() = availability.unservedMs
+
     /** Identifies the topic in logs and in watermarks. */
     val name: String = followed.name
 
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/StatusWriter.kt
@@ -0,0 +1,52 @@
+package corneltrack.router.relay.rollout
+
+import corneltrack.policy.rollout.RolloutStatus
+import corneltrack.router.relay.ConditionalWrite
+import corneltrack.router.relay.FollowedKeyedTopic
+import corneltrack.world.PoolId
+
+/**
+ * Writes statuses under the condition that the topic ends where this router has read to. After a conflict or a write of
+ * unknown result, the topic is read on before the next write. Only used on the event loop.
+ *
+ * @param topic the topic of the statuses.
+ * @param statuses confirms how far that topic has been read.
+ */
+internal class StatusWriter(
+    private val topic: FollowedKeyedTopic,
+    private val statuses: TopicConfirmation,
+    private val records: RolloutRecords,
+    private val monotonicMs: () -> Long,
+) {
+    private var pending = false
+    private var readToOffset = 0L
+    private var readFromMs = Long.MIN_VALUE
+
+    /** Whether the topic has been read as far as needed since the last write. */
+    val ready: Boolean
+        get() {
+            val read = topic.follower.endOffset >= readToOffset && statuses.covers(readFromMs)
+            if (!pending && !read) statuses.request()
+            return !pending && read
+        }
+
+    /** Writes [status] of [pool] and calls back with the result. */
+    fun write(pool: PoolId, status: RolloutStatus, onDone: (ConditionalWrite) -> Unit) {
+        pending = true
+        val end = topic.follower.endOffset
+        topic.topic.writeAt(records.statusKey(pool), records.encodeStatus(status), end) { result ->
+            pending = false
+            when (result) {
+                is ConditionalWrite.Written -> readTo(result.position + 1)
+                is ConditionalWrite.Conflict -> readTo(result.end ?: (end + 1))
+                is ConditionalWrite.Unknown -> readFromMs = monotonicMs()
+            }
+            onDone(result)
+        }
+    }
+
+    private fun readTo(end: Long) {
+        readToOffset = maxOf(readToOffset, end)
+        statuses.readTo(end)
+    }
+}
