--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/RolloutStep.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/RolloutStep.kt
@@ -15,7 +15,8 @@
  * What a peer, or the router itself, says about the shift of an order.
  *
  * @property orderId the order that it knows last.
- * @property phase the phase of it that it knows.
+ * @property phase the phase of it that it knows; [RolloutPhase.ROLLED_BACK] once it has stopped by a verdict, since it
+ *   then sends to the other versions again.
  * @property oldRequests the attempts that it has in flight at endpoints of other versions than the target.
  * @property silentMs the time since the report, in ms; 0 for the router itself.
  */
@@ -53,7 +54,7 @@
 /**
  * The times of a roll-out.
  *
- * @property drainMs the time by which running responses of the pool have usually ended, in ms.
+ * @property drainMs the time by which 999 of 1,000 running responses of the pool have ended, in ms.
  * @property longestResponseMs the longest route timeout of the pool, in ms; a peer that is silent for longer has
  *   nothing in flight.
  */
@@ -67,6 +68,14 @@
     public fun shiftAfterMs(durationMs: Long): Long =
         maxOf((EARLIEST_SHIFT * durationMs).toLong(), durationMs - drainMs - SHIFT_MARGIN_MS)
 
+    /**
+     * Returns the time between the order and the rollback of a version that is still undecided, in ms.
+     *
+     * It is the deadline, unless the order is shorter than a response, so that none might be known by then.
+     */
+    public fun trialEndAfterMs(durationMs: Long): Long =
+        if (durationMs < drainMs) TRIAL_DRAINS * drainMs else durationMs
+
     /** Returns whether the time to decide has come, which [judge] takes as its last call. */
     public fun lastCall(startedMs: Long, durationMs: Long, nowMs: Long): Boolean =
         nowMs >= startedMs + shiftAfterMs(durationMs)
@@ -74,5 +83,8 @@
 
 private const val EARLIEST_SHIFT = 0.6
 
+/** The trial of an order that is shorter than a response lasts as long as this many responses. */
+private const val TRIAL_DRAINS = 3
+
 /** The time for two writes to the store, their way to all routers, and the takeover of a dead decider, in ms. */
 private const val SHIFT_MARGIN_MS = 2_000L
