Scale the times that versions are compared by, and test roll-outs

With the mean of the baseline's learnt speeds as expectation, RolloutTest's good version was judged slow while these settled (23 trial responses against 270, order of 6 s): its responses came later than most of the baseline's. The expectation now uses fixed speeds, and the first five responses of the baseline set a scale per route, once.

A router that regains the store no longer refuses pools with several versions until it has read again: callers of RolloutProcessTest got 503 for it, and what is read is applied before the next request anyway. It still does so after it stood still itself. Bad responses are told to all peers at once only up to 50 per order, so that a shift with some slow responses does not flood them. A router that has stopped reports its order as rolled back.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/AttemptEvidence.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/AttemptEvidence.kt
@@ -7,6 +7,12 @@
 /** The shortest expected time to a response and between events, in ms; keeps ratios finite. */
 private const val MINIMUM_EXPECTED_MS = 1.0
 
+/** An observed time of less than the clock's resolution, in ms. */
+private const val MINIMUM_OBSERVED_MS = 0.5
+
+/** The part of the expected time to an engine's first event that does not depend on its speed, in ms. */
+private const val ENGINE_OVERHEAD_MS = 25.0
+
 /**
  * Reports one attempt as evidence about the version of its endpoint, with the observed times divided by those that the
  * pool's other endpoints would take. All times are in ms of the monotonic clock.
@@ -68,13 +74,19 @@
     }
 
     private fun firstRatio(pace: PoolPace, atMs: Long): Double {
-        val expectedMs = (target.expected.waitMs - target.networkDelayMs) * pace.speedFactor + target.networkDelayMs
-        return (atMs - sentMs) / maxOf(MINIMUM_EXPECTED_MS, expectedMs)
+        val engine = target.engineRequest != null
+        val fixedMs = target.networkDelayMs + if (engine) ENGINE_OVERHEAD_MS else 0.0
+        val factor = if (engine) pace.prefillFactor else pace.serviceFactor
+        val expectedMs = fixedMs + (target.expected.waitMs - fixedMs) * factor
+        return ratio((atMs - sentMs).toDouble(), expectedMs)
     }
 
     private fun pauseRatio(pace: PoolPace): Double? {
         val first = firstEventMs?.takeIf { events > 1 } ?: return null
         val expectedMs = pace.pauseMs * (call.pool.engine?.tokensPerEvent ?: 1)
-        return (lastEventMs - first).toDouble() / (events - 1) / maxOf(MINIMUM_EXPECTED_MS, expectedMs)
+        return ratio((lastEventMs - first).toDouble() / (events - 1), expectedMs)
     }
 }
+
+private fun ratio(observedMs: Double, expectedMs: Double) =
+    maxOf(MINIMUM_OBSERVED_MS, observedMs) / maxOf(MINIMUM_EXPECTED_MS, expectedMs)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/OrderTrial.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/OrderTrial.kt
@@ -13,6 +13,9 @@
 /** A response that takes longer than expected by this factor may be a bad one, which peers should know at once. */
 private const val SLOW_RATIO = 2.5
 
+/** A verdict takes fewer bad responses; more would flood the peers during a shift, when some responses are slow. */
+private const val MAXIMUM_URGENT = 50
+
 /**
  * What this router keeps about one order: its share of the trial, the evidence and the verdict. Only used on the event
  * loop.
@@ -21,6 +24,7 @@
  */
 internal class OrderTrial(val order: RolloutOrder, val share: TrialShare, val seenMs: Long) {
     private val sentTo = HashMap<EndpointId, Int>()
+    private val scales = HashMap<String, RatioScale>()
 
     /** The evidence; null until the status of the order is known, which says when it began. */
     var evidence: RolloutEvidence? = null
@@ -33,10 +37,13 @@
     var badSinceMs: Long? = null
         private set
 
-    /** The bad responses of the target version at this router, for telling peers at once. */
-    var badResponses: Int = 0
+    /** The bad responses of the target version at this router, as far as peers should hear of each at once. */
+    var urgentResponses: Int = 0
         private set
 
+    /** Whether responses are evidence. */
+    val gathers: Boolean get() = evidence != null
+
     /** Whether the target version is known to be bad. */
     val bad: Boolean get() = verdict is Verdict.Bad
 
@@ -50,9 +57,11 @@
 
     /** Records the response to an attempt. */
     fun onResponse(response: RolloutResponse, wallClockMs: Long) {
-        evidence?.onResponse(response, wallClockMs)
-        val slow = (response.firstEventRatio ?: 0.0) > SLOW_RATIO || (response.pauseRatio ?: 0.0) > SLOW_RATIO
-        if (response.version == order.target && (response.failed || slow)) badResponses++
+        val target = response.version == order.target
+        val scaled = scales.getOrPut(response.route, ::RatioScale).scaled(response, baseline = !target)
+        evidence?.onResponse(scaled, wallClockMs)
+        val slow = (scaled.firstEventRatio ?: 0.0) > SLOW_RATIO || (scaled.pauseRatio ?: 0.0) > SLOW_RATIO
+        if (target && (response.failed || slow)) urgentResponses = minOf(urgentResponses + 1, MAXIMUM_URGENT)
     }
 
     /** Returns where trial requests go, given all [live] endpoints of the pool. */
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/PoolPaces.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/PoolPaces.kt
@@ -1,23 +1,18 @@
 package corneltrack.router.relay.rollout
 
-import corneltrack.policy.discovery.KnownEndpoint
 import corneltrack.router.relay.EndpointState
-import corneltrack.router.relay.EndpointStates
+
+/** An endpoint that nobody has tried, whose speeds stand for those of any endpoint. */
+private val UNTRIED = EndpointState(startedAtMs = 0)
 
 /**
- * Returns the pace of the [baseline]'s endpoints in relation to the [chosen] one, or null if there are none.
+ * Returns the pace that an endpoint with [own] speeds is compared with.
  *
  * Expected times are learnt per endpoint, so that those of a slow version grow with its responses. The comparison of
- * versions uses the baseline's speeds instead.
+ * versions uses the same fixed speeds for all endpoints instead; [RatioScale] makes up for what they are.
  */
-internal fun poolPace(states: EndpointStates, chosen: KnownEndpoint, baseline: List<KnownEndpoint>): PoolPace? {
-    if (baseline.isEmpty()) return null
-    val known = baseline.map(states::of)
-    val own = states.of(chosen)
-    val service = known.usual { service.serviceTimeMs } / own.service.serviceTimeMs
-    val prefill = known.usual { engine.prefillMsPerToken } / own.engine.prefillMsPerToken
-    val generates = own.engine.ownLoad.running > 0
-    return PoolPace(if (generates) prefill else service, known.usual { engine.decodeMsPerToken })
-}
-
-private fun List<EndpointState>.usual(value: EndpointState.() -> Double): Double = sumOf { it.value() } / size
+internal fun paceOf(own: EndpointState): PoolPace = PoolPace(
+    serviceFactor = UNTRIED.service.serviceTimeMs / own.service.serviceTimeMs,
+    prefillFactor = UNTRIED.engine.prefillMsPerToken / own.engine.prefillMsPerToken,
+    pauseMs = UNTRIED.engine.decodeMsPerToken,
+)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/PoolRollout.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/PoolRollout.kt
@@ -4,7 +4,6 @@
 import corneltrack.policy.rollout.RolloutPhase
 import corneltrack.policy.rollout.RolloutStatus
 import corneltrack.policy.rollout.VersionsInForce
-import corneltrack.policy.rollout.baselineOf
 import corneltrack.policy.rollout.versionsInForce
 import corneltrack.world.PoolId
 
@@ -52,6 +51,10 @@
     var durationMs: Double = INITIAL_DURATION_MS
         private set
 
+    /** The phase that peers are told: a router that has stopped sends to the baseline again. */
+    val reportedPhase: RolloutPhase?
+        get() = orderStatus?.phase?.let { if (trial?.bad == true && !it.ended) RolloutPhase.ROLLED_BACK else it }
+
     /** The status of [order]; null if there is none yet. */
     val orderStatus: RolloutStatus? get() = status?.takeIf { it.orderId == order?.orderId }
 
@@ -89,19 +92,8 @@
     }
 
     /** Returns the versions that requests may go to, given those that are [listed]. */
-    fun inForce(listed: Set<String>): VersionsInForce {
-        val known = status
-        val rejected = trial?.bad == true && known != null && orderStatus != null && !known.phase.ended
-        val effective = if (rejected) known?.copy(phase = RolloutPhase.ROLLED_BACK) else known
-        return if (targetAlone(listed)) VersionsInForce(listed) else versionsInForce(listed, order, effective)
-    }
-
-    /** Returns the version in force before [order]; empty if it is not a single one. */
-    fun baseline(listed: Set<String>): String =
-        if (targetAlone(listed)) listed.single() else baselineOf(listed, order, status)
-
-    /** Whether the target of the first order is the only version, and so has been in force before. */
-    private fun targetAlone(listed: Set<String>) = status == null && listed == setOfNotNull(order?.target)
+    fun inForce(listed: Set<String>): VersionsInForce =
+        versionsInForce(listed, order, status, stopped = trial?.bad == true)
 
     /** Returns the versions that serve a request if the target cannot during a shift; empty if none may. */
     fun spare(listed: Set<String>): Set<String> {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/RolloutControl.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/RolloutControl.kt
@@ -36,9 +36,8 @@
     }
 
     override fun pace(chosen: KnownEndpoint): PoolPace? {
-        val trial = parts.of(chosen.entry.endpoint.pool).trial?.takeIf { it.evidence != null } ?: return null
-        val baseline = parts.versions.endpoints(trial.order.pool).filter { it.entry.version != trial.order.target }
-        return poolPace(parts.states, chosen, baseline)
+        val trial = parts.of(chosen.entry.endpoint.pool).trial?.takeIf { it.gathers } ?: return null
+        return paceOf(parts.states.of(chosen)).takeUnless { trial.bad }
     }
 
     override fun onBegin(pool: PoolId, version: String, nowMs: Long) = parts.of(pool).onInFlight(version, 1, nowMs)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/RolloutDriver.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/RolloutDriver.kt
@@ -6,6 +6,7 @@
 import corneltrack.policy.rollout.RolloutStep
 import corneltrack.policy.rollout.RolloutView
 import corneltrack.policy.rollout.Verdict
+import corneltrack.policy.rollout.baselineOf
 import corneltrack.policy.rollout.decideRolloutStep
 import corneltrack.policy.rollout.judge
 import corneltrack.policy.rollout.mayTrial
@@ -97,7 +98,7 @@
             order = rollout.order,
             orderSeenMs = trial?.seenMs ?: now.wallClockMs,
             status = rollout.status,
-            baseline = rollout.baseline(listed),
+            baseline = baselineOf(listed, rollout.order, rollout.status),
             targetEndpoints = rollout.order?.let { targetEndpoints(rollout.pool, it.target) },
             verdict = trial?.verdict ?: Verdict.Undecided,
             badSinceMs = trial?.badSinceMs ?: rollout.removedMs,
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/RolloutParts.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/RolloutParts.kt
@@ -58,7 +58,7 @@
     /** Returns the time since the store or a peer was heard, in ms, less the long poll of a router without peers. */
     fun unheardMs(contacts: List<PeerContact>): Long {
         val peerMs = contacts.filter { it.heard }.minOfOrNull { it.silentMs } ?: Long.MAX_VALUE
-        val storeMs = currency.unservedMs
+        val storeMs = minOf(currency.unservedMs, routingState.followers.minOf { it.unservedMs })
         val graceMs = if (contacts.isEmpty()) LONE_ROUTER_GRACE_MS else 0
         return minOf(peerMs, maxOf(0, storeMs - graceMs))
     }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/RolloutReports.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/RolloutReports.kt
@@ -22,12 +22,15 @@
 /** The copies of a bad verdict; make up for lost datagrams. */
 private const val BAD_VERDICT_COPIES = 3
 
+/** Stands for the phase of a router that knows no status of the order: it sends to the baseline. */
+private val NO_PHASE = RolloutPhase.TRIAL
+
 /** Exchanges the reports of open roll-outs with the peers. Only used on the event loop. */
 internal class RolloutReports(private val id: InstanceId, private val link: () -> PeerLink) {
     private data class Reporter(val pool: PoolId, val peer: InstanceId)
 
     /** What all peers were told last about a pool. */
-    private data class Told(val atMs: Long, val badResponses: Int, val bad: Boolean, val baselineClosed: Boolean)
+    private data class Told(val atMs: Long, val urgentResponses: Int, val bad: Boolean, val baselineClosed: Boolean)
 
     private val received = HashMap<Reporter, RolloutDigest>()
     private val told = HashMap<PoolId, Told>()
@@ -40,11 +43,11 @@
 
     /** Returns what this router and each of its [contacts] report about the shift of [rollout]. */
     fun shifts(rollout: PoolRollout, contacts: List<PeerContact>): List<ShiftReport> {
-        val own = rollout.orderStatus?.let { ShiftReport(it.orderId, it.phase, rollout.oldRequests, 0) }
+        val phase = rollout.reportedPhase
+        val own = rollout.trial?.let { ShiftReport(it.order.orderId, phase ?: NO_PHASE, rollout.oldRequests, 0) }
         return listOfNotNull(own) + contacts.map { contact ->
             val report = received[Reporter(rollout.pool, contact.id)]
-            val phase = report?.phase ?: RolloutPhase.TRIAL
-            ShiftReport(report?.orderId ?: -1, phase, report?.oldRequests ?: 0, contact.silentMs)
+            ShiftReport(report?.orderId ?: -1, report?.phase ?: NO_PHASE, report?.oldRequests ?: 0, contact.silentMs)
         }
     }
 
@@ -52,7 +55,7 @@
     fun send(rollout: PoolRollout, decider: Boolean, nowMs: Long) {
         val trial = rollout.trial ?: return
         val last = told[rollout.pool]
-        val next = Told(nowMs, trial.badResponses, trial.bad, rollout.baselineClosed)
+        val next = Told(nowMs, trial.urgentResponses, trial.bad, rollout.baselineClosed)
         val news = last == null || last.copy(atMs = nowMs) != next
         val due = decider && (last == null || nowMs - last.atMs >= DECIDER_INTERVAL_MS)
         val copies = if (trial.bad && last?.bad != true) BAD_VERDICT_COPIES else 1
@@ -72,7 +75,7 @@
 
     private fun PoolRollout.digests(trial: OrderTrial): List<PeerDigest> {
         val reason = (trial.verdict as? Verdict.Bad)?.reason
-        val report = RolloutDigest(pool, trial.order.orderId, orderStatus?.phase, oldRequests, reason)
+        val report = RolloutDigest(pool, trial.order.orderId, reportedPhase, oldRequests, reason)
         val parts = trial.evidence?.snapshot()?.let(::parts) ?: listOf(null)
         return parts.map { PeerDigest(id.value, rollouts = listOf(report.copy(evidence = it))) }
     }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/VersionControl.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/VersionControl.kt
@@ -30,12 +30,13 @@
 )
 
 /**
- * What a pool's endpoints are expected to take for a request that was placed at one of them.
+ * The fixed speeds that an endpoint's responses are compared with.
  *
- * @property speedFactor the usual time of the pool's endpoints over that of the chosen one, as both have been learnt.
- * @property pauseMs the usual pause between two events.
+ * @property serviceFactor the fixed service time over the endpoint's own.
+ * @property prefillFactor the fixed prefill time of a token over the endpoint's own.
+ * @property pauseMs the fixed time between two tokens.
  */
-internal data class PoolPace(val speedFactor: Double, val pauseMs: Double)
+internal data class PoolPace(val serviceFactor: Double, val prefillFactor: Double, val pauseMs: Double)
 
 /** Says which versions of a pool's endpoints get requests, and learns what became of them. */
 internal interface VersionControl {
@@ -45,7 +46,7 @@
     /** Returns the endpoints of [pool] that are open to any request. */
     fun regular(pool: PoolId, nowMs: Long): VersionFilter
 
-    /** Returns how fast the pool of [chosen] is, or null where no evidence is gathered. */
+    /** Returns what the times of [chosen] are compared with, or null where no evidence is gathered. */
     fun pace(chosen: KnownEndpoint): PoolPace?
 
     /** Records that an attempt begins at an endpoint. */
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/FakeTopic.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/FakeTopic.kt
@@ -32,6 +32,9 @@
         writeAt = ::writeAt,
     )
 
+    /** Returns the newest value of [key], or null if there is none. */
+    fun newest(key: String): String? = records.lastOrNull { it.key == key }?.value?.let { String(it) }
+
     fun put(key: String, value: String?) {
         records += KeyedRecord(key, value?.toByteArray(), records.size.toLong())
     }
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/PeerExchangeTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/PeerExchangeTest.kt
@@ -15,6 +15,7 @@
 import java.net.DatagramSocket
 import java.net.InetAddress
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import kotlin.test.AfterTest
@@ -46,12 +47,15 @@
         readinessPath = "/ready",
         peers = address,
     )
+    private val topic = FakeTopic(loop)
+    private val statuses = CopyOnWriteArrayList<String>()
+    private val inbox = RolloutInbox({ record -> record.key.startsWith("status ") && statuses.add(record.key) })
     private val exchange = PeerExchange(
         settings,
-        FakeTopic(loop).topic,
+        topic.topic,
         loop,
         { ClockReading(monotonicClock(), wallClock()) },
-        SharedState(load, PartSuspects(wallClock), { emptyList() }) { RouterDigest(lagMs = 0, inRotation = true) },
+        SharedState(load, PartSuspects(wallClock), { emptyList() }, inbox) { RouterDigest(0, inRotation = true) },
     ) { }
 
     @AfterTest
@@ -77,6 +81,20 @@
         assertEquals(PEERS, heard.get(TIMEOUT_S, TimeUnit.SECONDS), "peers heard by a router that is busy")
     }
 
+    // Guards against statuses that are taken for routers, to which digests are sent and for which roll-outs would wait.
+    @Test
+    fun `the status of a roll-out is no announcement of a router`() {
+        val record = """{"dataCentre":"here","address":"127.0.0.1:1"}"""
+        topic.put("status services", record)
+        topic.put("peer", record)
+        exchange.start()
+
+        await("the records to be read") { topic.consumed && exchange.known > 0 }
+
+        assertEquals(listOf("status services"), statuses.toList())
+        assertEquals(1, exchange.known)
+    }
+
     /** Keeps the loop busy, so that it reads from its sockets once, and then runs [action]. */
     private fun stayBusy(action: () -> Unit) {
         val untilMs = monotonicClock() + TASK_MS
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayFixture.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayFixture.kt
@@ -5,6 +5,11 @@
 import corneltrack.policy.placement.Generation
 import corneltrack.policy.placement.PromptSegment
 import corneltrack.policy.placement.promptSegments
+import corneltrack.policy.rollout.RolloutOrder
+import corneltrack.policy.rollout.RolloutPhase
+import corneltrack.policy.rollout.RolloutStatus
+import corneltrack.router.relay.rollout.RolloutOrderRecord
+import corneltrack.router.relay.rollout.RolloutRecords
 import corneltrack.wire.HostAndPort
 import corneltrack.wire.wireProtobuf
 import corneltrack.world.DataCentreId
@@ -51,6 +56,7 @@
     bounds: RelayBounds = RelayBounds(),
     private val timeoutMs: Long = 5_000,
     private val maximumBodyBytes: Int = 1_000_000,
+    features: RelayFeatures = RelayFeatures(),
 ) : AutoCloseable {
     private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val operator = FakeTopic(group.next())
@@ -68,6 +74,7 @@
         readinessPath = "/ready",
         peers = HostAndPort("127.0.0.1", ports[2]),
         bounds = bounds,
+        features = features,
     )
     private var table = table(1)
     private val source = RoutingSource(
@@ -75,10 +82,15 @@
         endpoints.topic,
         peers.topic,
         operatorRecordKind = { key ->
-            if (key == "table") OperatorRecordKind.Table else OperatorRecordKind.Evacuation(DataCentreId(key))
+            when {
+                key == "table" -> OperatorRecordKind.Table
+                key.startsWith("order ") -> OperatorRecordKind.Rollout(PoolId(key.removePrefix("order ")))
+                else -> OperatorRecordKind.Evacuation(DataCentreId(key))
+            }
         },
         decodeTable = { table },
         decodeEndpoint = { key, value -> entries[String(value)]?.takeIf { it.endpoint.id.value == key } },
+        rollouts = testRolloutRecords,
     )
     val router = RelayRouter(settings, group, source, testHeaderMapping)
 
@@ -96,6 +108,20 @@
         return added
     }
 
+    /** Starts a service's endpoint of [version] that responds with [script], and lists it in the store. */
+    fun serviceEndpoint(
+        name: String,
+        version: String,
+        script: (ReceivedRequest, Socket) -> Unit,
+    ): ScriptedEndpoint {
+        val added = ScriptedEndpoint(script = script)
+        scriptedEndpoints += added
+        val here = DataCentreId("here")
+        val endpoint = Endpoint(EndpointId(name), PoolId("services"), here, added.address, MemberState.LIVE)
+        list(endpoint, startedAtMs = 1, version)
+        return added
+    }
+
     /** Writes the record of an endpoint at [address] to the store. */
     fun listEndpoint(
         name: String,
@@ -114,10 +140,10 @@
         list(Endpoint(EndpointId(name), PoolId("engines"), here, address, MemberState.LIVE), startedAtMs)
     }
 
-    private fun list(endpoint: Endpoint, startedAtMs: Long) {
+    private fun list(endpoint: Endpoint, startedAtMs: Long, version: String = "") {
         val sequence = entries.size + 1L
         val key = "${endpoint.id.value}/$sequence"
-        entries[key] = EndpointEntry(endpoint, startedAtMs, sequence, concurrency = 4, coldStartRemainingMs = 0)
+        entries[key] = EndpointEntry(endpoint, startedAtMs, sequence, 4, coldStartRemainingMs = 0, version)
         endpoints.put(endpoint.id.value, key)
     }
 
@@ -127,6 +153,18 @@
     /** Writes the operators' record that evacuates [dataCentre]. */
     fun evacuate(dataCentre: String) = operator.put(dataCentre, "")
 
+    /** Writes the operators' record that orders a roll-out of [pool], or removes it if [text] is null. */
+    fun order(pool: String, text: String?) = operator.put("order $pool", text)
+
+    /** Writes the status of the roll-out of [pool], as another router does. */
+    fun writeStatus(pool: String, status: RolloutStatus) = peers.put("status $pool", encodeTestStatus(status))
+
+    /** Returns the newest status of the roll-out of [pool], or null if there is none. */
+    fun status(pool: String): RolloutStatus? = peers.newest("status $pool")?.let(::decodeTestStatus)
+
+    /** Waits until the router has read all records of the operators and of the status topic. */
+    fun awaitRecordsRead() = await("the router to read all records") { operator.consumed && peers.consumed }
+
     /** Announces a peer of the router's data centre in the store; it receives nothing. */
     fun announcePeer(name: String) {
         val record = PeerRecord("here", "127.0.0.1:${freePorts(count = 1).single()}")
@@ -258,6 +296,31 @@
     )
 }
 
+/** Orders are `TARGET DURATION_MS`; statuses are the fields separated by spaces. */
+private val testRolloutRecords = RolloutRecords(
+    decodeOrder = { pool, value, offset ->
+        val fields = String(value).split(' ')
+        val durationMs = fields.getOrNull(1)?.toLongOrNull()
+        if (durationMs == null) {
+            RolloutOrderRecord.Invalid("no duration")
+        } else {
+            RolloutOrderRecord.Valid(RolloutOrder(pool, fields[0], durationMs, offset))
+        }
+    },
+    statusPool = { key -> if (key.startsWith("status ")) PoolId(key.removePrefix("status ")) else null },
+    statusKey = { "status ${it.value}" },
+    decodeStatus = { decodeTestStatus(String(it)) },
+    encodeStatus = { encodeTestStatus(it).toByteArray() },
+)
+
+private fun encodeTestStatus(status: RolloutStatus) = with(status) {
+    "$orderId $target $baseline $phase $startedWallClockMs $decidedBy"
+}
+
+private fun decodeTestStatus(text: String) = text.split(' ').let {
+    RolloutStatus(it[0].toLong(), it[1], it[2], RolloutPhase.valueOf(it[3]), it[4].toLong(), it[5])
+}
+
 /** Returns the text of a request whose connection closes after the response. */
 internal fun request(
     path: String,
