Count requests that are lost with one endpoint as one failure

An endpoint that ends loses all of its requests at once, which looked like as many bad responses of its version. Losses within 50 ms at one endpoint now count once; the window is short, so that an endpoint that goes on and breaks off some responses still shows. No test covers the window itself.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/AttemptEvidence.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/AttemptEvidence.kt
@@ -10,6 +10,12 @@
 /** An observed time of less than the clock's resolution, in ms. */
 private const val MINIMUM_OBSERVED_MS = 0.5
 
+/**
+ * The time within which the connections of an endpoint that ends are lost, in ms. Short, so that an endpoint that goes
+ * on and breaks off some responses does not count as one that ends.
+ */
+private const val LOST_TOGETHER_MS = 50L
+
 /** The part of the expected time to an engine's first event that does not depend on its speed, in ms. */
 private const val ENGINE_OVERHEAD_MS = 25.0
 
@@ -60,9 +66,11 @@
     /** Records a failure of the endpoint. */
     fun onFailure() = report(RolloutResponse(version, call.route.name, failed = true, null, null))
 
-    /** Records that the time for the response is over; a failure if nothing came for [stallMs] after [progressMs]. */
-    fun onTimeout(progressMs: Long, stallMs: Long, nowMs: Long) {
-        if (nowMs - progressMs >= stallMs) onFailure()
+    /** Records that the connection was lost; requests that an endpoint loses together count as one failure. */
+    fun onLost(nowMs: Long) {
+        val together = target.state.lostMs.let { it != null && nowMs - it < LOST_TOGETHER_MS }
+        target.state.lostMs = nowMs
+        if (!together) onFailure()
     }
 
     /** Records that the attempt has ended. */
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointAttempt.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointAttempt.kt
@@ -105,7 +105,12 @@
     }
 
     private fun giveUp(signal: EndpointSignal?, result: RelayAttemptResult) {
-        if (signal != null || status != null) evidence.onFailure()
+        val lost = result is RelayAttemptResult.Broken && result.connectionLost
+        when {
+            signal == null && status == null -> Unit
+            lost -> evidence.onLost(context.nowMs())
+            else -> evidence.onFailure()
+        }
         exchange.cancel()
         context.connections.discard(target.endpoint.id)
         fail(signal, result)
@@ -146,7 +151,7 @@
     /** Records that the time for the response is over; an endpoint that has sent nothing for long has stalled. */
     fun onTimeout() {
         val stallMs = maxOf(stallLimitMs, call.route.objectiveMs)
-        if (sent) evidence.onTimeout(timing.lastProgressMs, stallMs, context.nowMs())
+        if (sent && context.nowMs() - timing.lastProgressMs >= stallMs) evidence.onFailure()
     }
 
     /** Pauses or resumes reading from the endpoint. */
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointState.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointState.kt
@@ -31,6 +31,9 @@
     val prefixReports = PrefixReports()
     val service = ServiceLoad()
 
+    /** When a connection to the endpoint was last lost with a request, in monotonic ms; null if none was. */
+    var lostMs: Long? = null
+
     /** Counts the requests started at the endpoint while it is cold. */
     val coldStarts = SlidingWindowLimiter(COLD_START_WINDOW_MS)
 
