--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointAttempt.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointAttempt.kt
@@ -50,6 +50,7 @@
             Listener(),
         )
     private val timing = EventTiming(call, target, context.transfers)
+    private val evidence = AttemptEvidence(call, target, context.versions)
     private var delivery: ResponseDelivery? = null
     private var notRun = false
     private var pauseStated = false
@@ -69,6 +70,7 @@
 
     /** Sends the request; watches for stalls where another endpoint could resume the stream. */
     fun start() {
+        evidence.onBegin(context.nowMs())
         exchange.start(call.route.maximumIdleMs, context.nowMs())
         if (call.route.resumable && call.route.responseMode == ResponseMode.EVENT_STREAM) checkStallAfter(stallLimitMs)
     }
@@ -93,6 +95,12 @@
     }
 
     private fun giveUp(signal: EndpointSignal?, result: RelayAttemptResult) {
+        val lost = result is RelayAttemptResult.Broken && result.connectionLost
+        when {
+            signal == null && status == null -> Unit
+            lost -> evidence.onLost(context.nowMs())
+            else -> evidence.onFailure()
+        }
         exchange.cancel()
         context.connections.discard(target.endpoint.id)
         fail(signal, result)
@@ -106,12 +114,12 @@
     /** Status 421 means that the endpoint has left its address, other refusals that it is full or failing. */
     private fun failNotRun(code: Int) {
         val misdirected = code == HttpResponseStatus.MISDIRECTED_REQUEST.code()
-        val signal = if (misdirected) EndpointSignal.UNREACHABLE else failureSignal()
+        val signal = if (misdirected) EndpointSignal.UNREACHABLE else failureSignal
         fail(signal, RelayAttemptResult.NotRun(code))
     }
 
     /** An endpoint that says for how long it wants nothing is not ejected beyond that. */
-    private fun failureSignal() = EndpointSignal.FAILED.takeUnless { pauseStated }
+    private val failureSignal get() = EndpointSignal.FAILED.takeUnless { pauseStated }
 
     /** Delivers the rest of the complete response to the caller. */
     fun deliver() = delivery?.deliver()
@@ -127,6 +135,13 @@
             target.state.service.onEnd()
         }
         delivery?.close()
+        evidence.onEnd(context.nowMs())
+    }
+
+    /** Records that the time for the response is over; an endpoint that has sent nothing for long has stalled. */
+    fun onTimeout() {
+        val stallMs = maxOf(stallLimitMs, call.route.objectiveMs)
+        if (sent && context.nowMs() - timing.lastProgressMs >= stallMs) evidence.onFailure()
     }
 
     /** Pauses or resumes reading from the endpoint. */
@@ -143,6 +158,7 @@
             this@EndpointAttempt.reused = reused
             sent = true
             timing.onSent(context.nowMs())
+            evidence.onSent(context.nowMs())
             call.attempts++
             return call.messageTo(target, context)
         }
@@ -177,6 +193,7 @@
 
         private fun onEvent() {
             timing.onEvent(context.nowMs())
+            evidence.onEvent(context.nowMs())
             if (answering) context.partSuspects.onAnswered(call)
         }
 
@@ -198,8 +215,9 @@
                 code < FIRST_REDIRECT || startedHere -> onSuccess()
                 else -> {
                     val failing = code >= HttpResponseStatus.INTERNAL_SERVER_ERROR.code()
+                    if (failing) evidence.onFailure() else evidence.onResponse(context.nowMs(), timed = false)
                     val result = RelayAttemptResult.Failed(code, call.responseStarted)
-                    fail(if (failing) failureSignal() else EndpointSignal.GOOD, result)
+                    fail(if (failing) failureSignal else EndpointSignal.GOOD, result)
                 }
             }
         }
@@ -224,6 +242,7 @@
                 target.state.service.onResponse(elapsedMs)
                 target.state.service.paced.onResponse(elapsedMs)
             }
+            evidence.onResponse(context.nowMs(), timed = true)
             context.onHealthSignal(target, EndpointSignal.GOOD)
             owner.onCompleted(this@EndpointAttempt)
         }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointState.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointState.kt
@@ -58,6 +58,9 @@
         service.paced.onOwnReport(report, service.running)
     }
 
+    /** When a connection to the endpoint was last lost with a request, in monotonic ms; null if none was. */
+    var lostMs: Long? = null
+
     /** Counts the requests started at the endpoint while it is cold. */
     val coldStarts = SlidingWindowLimiter(COLD_START_WINDOW_MS)
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerDigest.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerDigest.kt
@@ -4,6 +4,10 @@
 import corneltrack.policy.PartAnswered
 import corneltrack.policy.Suspicion
 import corneltrack.policy.discovery.TopicWatermark
+import corneltrack.policy.rollout.BadReason
+import corneltrack.policy.rollout.EvidenceSnapshot
+import corneltrack.policy.rollout.RolloutPhase
+import corneltrack.world.PoolId
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.protobuf.ProtoIntegerType
 import kotlinx.serialization.protobuf.ProtoPacked
@@ -91,10 +95,29 @@
 @Serializable
 internal data class WorkspaceDigest(val requested: Long, val granted: Long, val attempted: Long = requested)
 
+/**
+ * What a router reports of the roll-out of one pool.
+ *
+ * @property orderId the order that the report is about.
+ * @property phase the phase that the router knows, or null if it knows no status of the order.
+ * @property oldRequests the requests that it has or may still send at endpoints of other versions than the target.
+ * @property bad why the router holds the target version for bad, or null if it does not.
+ * @property evidence the router's own counters, or null if it has none.
+ */
+@Serializable
+internal data class RolloutDigest(
+    val pool: PoolId,
+    val orderId: Long,
+    val phase: RolloutPhase? = null,
+    val oldRequests: Int = 0,
+    val bad: BadReason? = null,
+    val evidence: EvidenceSnapshot? = null,
+)
+
 /**
  * A datagram from a router to its peers.
  *
- * Carries either its load, its crash suspicions, its reports on parts of prompts or its watermarks.
+ * Carries either its load, its crash suspicions, its reports on parts of prompts, its watermarks or its roll-outs.
  *
  * @property sender the ID of the router.
  * @property endpoints the load on each endpoint in use, by endpoint ID.
@@ -104,6 +127,7 @@
  * @property router how loaded the router itself is; null in digests of routers that do not report it.
  * @property watermarks how far the router has read each topic of the store, by topic name.
  * @property records the records that belong to [watermarks]; null in digests of routers that share none.
+ * @property rollouts the roll-outs that are open; empty in fleets that have none.
  */
 @Serializable
 internal data class PeerDigest(
@@ -116,9 +140,11 @@
     val answered: List<PartAnswered> = emptyList(),
     val router: RouterDigest? = null,
     val records: SharedRecords? = null,
+    val rollouts: List<RolloutDigest> = emptyList(),
 ) {
     val carriesLoad: Boolean
-        get() = suspicions.isEmpty() && watermarks.isEmpty() && crashes.isEmpty() && answered.isEmpty()
+        get() = suspicions.isEmpty() && watermarks.isEmpty() && crashes.isEmpty() && answered.isEmpty() &&
+            rollouts.isEmpty()
 }
 
 /**
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
@@ -50,6 +50,17 @@
 private val logger = LogManager.getLogger("corneltrack.router.relay.PeerExchange")
 internal val peerJson: Json = Json { ignoreUnknownKeys = true }
 
+/**
+ * What the roll-outs take from the peers and their topic.
+ *
+ * @property takesRecord handles a record of the peers' topic if it is the status of a roll-out; returns whether it is.
+ * @property onDigest handles a peer's reports.
+ */
+internal class RolloutInbox(
+    val takesRecord: (KeyedRecord) -> Boolean = { false },
+    val onDigest: (peer: InstanceId, digests: List<RolloutDigest>) -> Unit = { _, _ -> },
+)
+
 /**
  * The state of a router that it exchanges with its peers.
  *
@@ -57,6 +68,7 @@
  * @property partSuspects the parts of prompts under which endpoints crash.
  * @property followers returns the followers of all topics but that of the peers.
  * @property sharing determines whether the routers of the region send each other the records of topics.
+ * @property rollouts takes what concerns roll-outs.
  * @property routerLoad returns how loaded this router is.
  */
 internal class SharedState(
@@ -64,6 +76,7 @@
     val partSuspects: PartSuspects,
     val followers: () -> List<TopicFollower>,
     val sharing: RecordSharing = RecordSharing(),
+    val rollouts: RolloutInbox = RolloutInbox(),
     val routerLoad: () -> RouterDigest,
 )
 
@@ -88,11 +101,16 @@
     private val peerLoads = PeerLoads(load)
     private val peers = PeerTable(settings)
     private val followed = FollowedTopic("peers", topic, PEER_POLL_TIMING)
-    private val follower = TopicFollower(followed, loop, clock, ::rank, shared.sharing, peers::onRecord)
+    private val follower = TopicFollower(followed, loop, clock, ::rank, shared.sharing) { record ->
+        shared.rollouts.takesRecord(record) || peers.onRecord(record)
+    }
     private val watermarks = WatermarkExchange(clock) { shared.followers() + follower }
     private val sender = DigestSender(settings.id, shared)
     private var digestNumber = 0L
 
+    /** The peers, for parts of the router that have messages of their own. */
+    val link = PeerLink(FollowedKeyedTopic(topic, follower), peers, sender)
+
     /** The number of peers that have announced themselves in the store. */
     val known: Int get() = peers.all.size
 
@@ -154,6 +172,7 @@
         digest.suspicions.forEach(onSuspicion)
         watermarks.onPeer(digest.watermarks, digest.records?.takeIf { peers.isInRegion(peer) })
         shared.partSuspects.onPeer(digest)
+        if (digest.rollouts.isNotEmpty()) shared.rollouts.onDigest(peer, digest.rollouts)
         if (digest.carriesLoad) peerLoads.onDigest(peer, digest, nowMs)
     }
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
@@ -13,6 +13,11 @@
 import corneltrack.router.callers.CallerServer
 import corneltrack.router.callers.ConnectionLimits
 import corneltrack.router.monotonicClock
+import corneltrack.router.relay.rollout.AllVersions
+import corneltrack.router.relay.rollout.RolloutContext
+import corneltrack.router.relay.rollout.RolloutMetrics
+import corneltrack.router.relay.rollout.Rollouts
+import corneltrack.router.relay.rollout.VersionControl
 import corneltrack.router.wallClock
 import corneltrack.wire.ControlLimits
 import corneltrack.wire.ControlRequest
@@ -70,18 +75,30 @@
         storeReads::onStoreCall,
         storeReads::onRecordsTaken,
     )
+    private val routingCallbacks = RoutingCallbacks(::onTable) { pool, record ->
+        rollouts?.reader?.onOrder(pool, record) ?: logger.event("rollout_order_ignored") { field("pool", pool) }
+    }
     private val routingState =
-        RoutingState(source, settings.bounds, loop, clock, RegionRole({ peers.rank() }, sharing), ::onTable)
+        RoutingState(source, settings.bounds, loop, clock, RegionRole({ peers.rank() }, sharing), routingCallbacks)
+    private val rolloutInbox = RolloutInbox(
+        { record -> rollouts?.reader?.onRecord(record) ?: (source.rollouts?.statusPool(record.key) != null) },
+        { peer, digests -> rollouts?.reader?.onDigests(peer, digests) },
+    )
     private val suspects = CrashSuspects(wallClock) { peers.share(it) }
     private val partSuspects = PartSuspects(wallClock)
     private val eventLoopLag = EventLoopLag(LAG_SAMPLE_INTERVAL_MS)
     private val rotation = RotationControl(settings.id, eventLoopLag, { peers.rotationPeers() }) { peers.shareLoad() }
-    private val shared = SharedState(load, partSuspects, { routingState.followers }, sharing) {
+    private val shared = SharedState(load, partSuspects, { routingState.followers }, sharing, rolloutInbox) {
         RouterDigest(eventLoopLag.lagMs(monotonicClock()), rotation.inRotation)
     }
     private val peers: PeerExchange =
         PeerExchange(settings, source.peers, loop, clock, shared, suspects::onPeerSuspicion)
     private val paceMetrics = PaceMetrics(metrics.registry)
+    private val rollouts: Rollouts? = source.rollouts?.takeIf { settings.features.rollouts }?.let { records ->
+        val rolloutMetrics = RolloutMetrics(metrics.registry)
+        Rollouts(RolloutContext(settings, records, routingState, load.states, peers.link, clock, rolloutMetrics))
+    }
+    private val versions: VersionControl = rollouts?.control ?: AllVersions
     private val unmatchedResponses = UnmatchedResponseRecorder(metrics.registry)
     private val endpointConnections = EndpointConnections(
         CONNECT_TIMEOUT_MS,
@@ -93,7 +110,13 @@
         loop,
         headerMapping,
         endpointConnections,
-        TargetChooser(settings, routingState, load, clock, ::hasIdleConnection) { peers.fleetPosition() },
+        TargetChooser(
+            settings,
+            routingState,
+            load,
+            clock,
+            EndpointSelection(::hasIdleConnection, versions) { peers.fleetPosition() },
+        ),
         RelayEventLog({ routingState.table?.version }, { routingState.endpointAgeMs() }),
         metrics,
         unmatchedResponses,
@@ -105,6 +128,7 @@
         settings.bounds,
         eventLoopLag,
         monotonicClock,
+        versions,
     )
     private val bodyMemory = BodyMemory()
     private val connections =
@@ -130,6 +154,7 @@
             routingState.table != null &&
             routingState.endpointsLoaded &&
             !routingState.keysStale() &&
+            rollouts?.started != false &&
             rotation.inRotation
 
     /** Binds the listening addresses and starts to follow the store. Throws if an address is in use. */
@@ -139,6 +164,7 @@
         callers.start(settings.callers)
         peers.start()
         loop.execute(routingState::start)
+        rollouts?.start(loop)
         WarmUp(settings, routingState, headerMapping, eventLoopLag, clock, metrics::onWarmedUp).start(loop)
         loop.scheduleAtFixedRate(
             ::runMaintenance,
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TargetChooser.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TargetChooser.kt
@@ -7,6 +7,9 @@
 import corneltrack.policy.placement.ServiceDecision
 import corneltrack.policy.placement.holdsServiceRequest
 import corneltrack.policy.placement.placeServiceRequest
+import corneltrack.router.relay.rollout.AllVersions
+import corneltrack.router.relay.rollout.TrialChance
+import corneltrack.router.relay.rollout.VersionControl
 import corneltrack.world.Endpoint
 import java.util.concurrent.ThreadLocalRandom
 
@@ -16,29 +19,52 @@
 /** Whether a connection to the endpoint is idle that was last used within the given time, in ms. */
 internal typealias IdleConnections = (endpoint: Endpoint, nowMs: Long, maximumIdleMs: Long) -> Boolean
 
+/**
+ * Says what the choice of endpoints depends on beside their state.
+ *
+ * @property idle tells whether a request needs no new connection to an endpoint.
+ * @property versions says which versions get the attempt.
+ * @property fleet returns this router's place among the listed routers, or null while their list has not been read.
+ */
+internal data class EndpointSelection(
+    val idle: IdleConnections = { _, _, _ -> false },
+    val versions: VersionControl = AllVersions,
+    val fleet: () -> FleetPosition? = { null },
+)
+
 /**
  * Chooses the endpoint of each attempt among those that may serve the request and are not ejected. Confined to the
  * event loop.
- *
- * @param idle tells whether a request needs no new connection to an endpoint.
- * @param fleet returns this router's place among the listed routers, or null while their list has not been read.
  */
 internal class TargetChooser(
     private val settings: RelaySettings,
     routingState: RoutingState,
     load: FleetLoad,
     clock: Clocks,
-    private val idle: IdleConnections,
-    private val fleet: () -> FleetPosition?,
+    private val selection: EndpointSelection,
 ) {
+    private val versions = selection.versions
     private val states = load.states
-    private val endpoints = EligibleEndpoints(settings, routingState, states, clock, fleet)
+    private val endpoints = EligibleEndpoints(settings, routingState, states, clock, versions, selection.fleet)
     private val held = HeldCalls()
-    private val engines = EngineChooser(settings, routingState, load, endpoints)
+    private val engines = EngineChooser(settings, routingState, load, endpoints) { it.toTargetVersion() }
 
     /** Chooses an endpoint for an attempt of [call] and adds the request to the endpoint's load. */
     fun choose(call: RelayedCall, nowMs: Long): TargetDecision {
-        val eligibility = endpoints.forCall(call, nowMs)
+        val allowed = versions.forAttempt(call, nowMs)
+        val trial = allowed.trial?.let { chooseTrial(call, it, nowMs) }
+        if (trial is TargetDecision.Chosen) return trial
+        val regular = endpoints.forCall(call, nowMs, allowed.regular)
+        val spare = allowed.spare?.takeIf { regular.endpoints.isEmpty() }?.let { endpoints.forCall(call, nowMs, it) }
+        return place(call, spare?.takeIf { it.endpoints.isNotEmpty() } ?: regular, nowMs)
+    }
+
+    private fun chooseTrial(call: RelayedCall, trial: TrialChance, nowMs: Long): TargetDecision? =
+        trial.take(endpoints.forCall(call, nowMs, trial.filter).endpoints)?.let {
+            place(call, Eligibility(listOf(it), emptyMap(), retryAfterMs = 0), nowMs)
+        }
+
+    private fun place(call: RelayedCall, eligibility: Eligibility, nowMs: Long): TargetDecision {
         val eligible = eligibility.endpoints
         val generation = call.generation
         val profile = call.pool.engine
@@ -73,15 +99,24 @@
                 val expected = ExpectedCost(decision.responseTimeMs)
                 if (decision.explored) state.pool.exploredRequests++
                 TargetDecision.Chosen(
-                    Target(chosen.entry.endpoint, state, null, decision.candidate.networkDelayMs, expected),
+                    Target(
+                        chosen.entry.endpoint,
+                        state,
+                        null,
+                        decision.candidate.networkDelayMs,
+                        expected,
+                        version = chosen.toTargetVersion(),
+                    ),
                 )
             }
         }
     }
 
+    private fun KnownEndpoint.toTargetVersion() = TargetVersion(entry.version, versions.pace(this))
+
     /** Whether [call] waits until the endpoints have room; not for a retry, which has taken from the retry budget. */
     private fun mustWait(call: RelayedCall, candidates: List<ServiceCandidate>, nowMs: Long): Boolean {
-        val routers = fleet()?.routers ?: 1
+        val routers = selection.fleet()?.routers ?: 1
         val waitedMs = call.times.earlierWaitMs + nowMs - call.times.arrivedMs
         return call.attempts == 0 && holdsServiceRequest(candidates, routers, waitedMs, call.route.objectiveMs, nowMs)
     }
@@ -98,7 +133,7 @@
             load = load,
             concurrency = maxOf(1, entry.concurrency),
             networkDelayMs = settings.networkDelayMs(entry.endpoint),
-            connected = load.paced.pace.known && idle(entry.endpoint, nowMs, call.route.maximumIdleMs),
+            connected = load.paced.pace.known && selection.idle(entry.endpoint, nowMs, call.route.maximumIdleMs),
         )
     }
 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicFollower.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicFollower.kt
@@ -44,6 +44,9 @@
  */
 internal data class FollowedTopic(val name: String, val topic: KeyedTopic, val timing: PollTiming)
 
+/** A topic and what follows it. */
+internal data class FollowedKeyedTopic(val topic: KeyedTopic, val follower: TopicFollower)
+
 /**
  * Follows a keyed topic: loads the newest record of each key, then reads the records that follow. Loads everything
  * again if the store has deleted the records to read next.
@@ -81,6 +84,12 @@
     private var awaitingPeer = false
     private var takeoverCheck: ScheduledFuture<*>? = null
 
+    /** The offset up to which this router has read the topic. */
+    val endOffset: Long get() = copy.nextOffset
+
+    /** The time since the store is known to have served this router or a peer, in ms. */
+    val unservedMs: Long get() = reader.availability.unservedMs
+
     /** Identifies the topic in logs and in watermarks. */
     val name: String = followed.name
 
