Log the peers' unreadable digests with literal event names

DocumentedNamesTest finds events by their literal names in the source; the bounded log line passed the name as a parameter, so that peer_digest_unreadable and peer_digest_failed counted as undocumented.

Measured: PeerExchangeTest and PeerTableTest pass.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
@@ -158,19 +158,21 @@
             try {
                 onDigest(wireProtobuf.decodeFromByteArray<PeerDigest>(bytes), bytes.size)
             } catch (fault: SerializationException) {
-                onUnreadable("peer_digest_unreadable", fault)
+                onFailure(fault, unreadable = true)
             }
         }
 
         @Deprecated("Netty keeps this method for inbound handlers")
         override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) =
-            onUnreadable("peer_digest_failed", cause)
+            onFailure(cause, unreadable = false)
 
-        private fun onUnreadable(event: String, cause: Throwable) {
+        private fun onFailure(cause: Throwable, unreadable: Boolean) {
             val nowMs = clock().monotonicMs
             if (!logged.allows(MAXIMUM_UNREADABLE_LINES, nowMs)) return
             logged.onEvent(nowMs)
-            logger.event(event, Level.WARN) { field("reason", cause.message?.take(MAXIMUM_REASON_LENGTH)) }
+            logger.event(if (unreadable) "peer_digest_unreadable" else "peer_digest_failed", Level.WARN) {
+                field("reason", cause.message?.take(MAXIMUM_REASON_LENGTH))
+            }
         }
     }
 
