--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerTable.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerTable.kt
@@ -106,11 +106,6 @@
         )
     }
 
-    private fun List<PeerRecord>.due(number: Long, perDigest: Int, interval: Int) = RecipientGroup(
-        filterIndexed { index, _ -> isDigestDue(number, index, size, perDigest, interval) },
-        digestCycle(size, perDigest, interval),
-    )
-
     /** Adds or removes a peer by its record. Returns true, since each record counts as a change. */
     fun onRecord(record: KeyedRecord): Boolean {
         val id = InstanceId(record.key)
@@ -138,3 +133,8 @@
     logger.event("peer_record_unreadable", Level.WARN) { field("reason", fault.message) }
     null
 }
+
+private fun List<PeerRecord>.due(number: Long, perDigest: Int, interval: Int) = RecipientGroup(
+    filterIndexed { index, _ -> isDigestDue(number, index, size, perDigest, interval) },
+    digestCycle(size, perDigest, interval),
+)
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/PeerExchangeTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/PeerExchangeTest.kt
@@ -55,7 +55,9 @@
         topic.topic,
         loop,
         { ClockReading(monotonicClock(), wallClock()) },
-        SharedState(load, PartSuspects(wallClock), { emptyList() }, rollouts = inbox) { RouterDigest(0, inRotation = true) },
+        SharedState(load, PartSuspects(wallClock), { emptyList() }, rollouts = inbox) {
+            RouterDigest(0, inRotation = true)
+        },
     ) { }
 
     @AfterTest
