Compare the times of versions without a scale, and end a trial in a minority

The scale of a route needed five responses of the baseline at one router, which routers of large fleets do not get within an order: slow versions could not be told from good ones there. The time to drain is at least 1,500 ms, since the baseline stays open for a second.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/OrderTrial.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/OrderTrial.kt
@@ -24,7 +24,6 @@
  */
 internal class OrderTrial(val order: RolloutOrder, val share: TrialShare, val seenMs: Long) {
     private val sentTo = HashMap<EndpointId, Int>()
-    private val scales = HashMap<String, RatioScale>()
 
     /** The evidence; null until the status of the order is known, which says when it began. */
     var evidence: RolloutEvidence? = null
@@ -58,9 +57,8 @@
     /** Records the response to an attempt. */
     fun onResponse(response: RolloutResponse, wallClockMs: Long) {
         val target = response.version == order.target
-        val scaled = scales.getOrPut(response.route, ::RatioScale).scaled(response, baseline = !target)
-        evidence?.onResponse(scaled, wallClockMs)
-        val slow = (scaled.firstEventRatio ?: 0.0) > SLOW_RATIO || (scaled.pauseRatio ?: 0.0) > SLOW_RATIO
+        evidence?.onResponse(response, wallClockMs)
+        val slow = (response.firstEventRatio ?: 0.0) > SLOW_RATIO || (response.pauseRatio ?: 0.0) > SLOW_RATIO
         if (target && (response.failed || slow)) urgentResponses = minOf(urgentResponses + 1, MAXIMUM_URGENT)
     }
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/PoolPaces.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/PoolPaces.kt
@@ -9,7 +9,8 @@
  * Returns the pace that an endpoint with [own] speeds is compared with.
  *
  * Expected times are learnt per endpoint, so that those of a slow version grow with its responses. The comparison of
- * versions uses the same fixed speeds for all endpoints instead; [RatioScale] makes up for what they are.
+ * versions uses the same fixed speeds for all endpoints instead. What they are does not matter, since only ratios of
+ * two versions on one route are compared.
  */
 internal fun paceOf(own: EndpointState): PoolPace = PoolPace(
     serviceFactor = UNTRIED.service.serviceTimeMs / own.service.serviceTimeMs,
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/RolloutControl.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/RolloutControl.kt
@@ -5,7 +5,6 @@
 import corneltrack.policy.rollout.RolloutResponse
 import corneltrack.policy.rollout.TrialShare
 import corneltrack.policy.rollout.firstTrialCredit
-import corneltrack.policy.rollout.mayTrial
 import corneltrack.router.relay.RelayedCall
 import corneltrack.world.PoolId
 
@@ -76,8 +75,7 @@
     private fun chance(pool: PoolId, trial: OrderTrial, nowMs: Long): TrialChance? {
         val contacts = parts.link.contacts(nowMs)
         val plan = trial.plan(parts.versions.endpoints(pool), parts.trialShare, nowMs)
-        val heard = mayTrial(nowMs - parts.unheardMs(contacts), nowMs)
-        val open = heard && plan.open(parts.clock().wallClockMs)
+        val open = parts.mayTrial(contacts) && plan.open(parts.clock().wallClockMs)
         return if (open) TrialChance({ it.entry.endpoint.id in plan.endpoints }, trial::take) else null
     }
 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/RolloutDriver.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/RolloutDriver.kt
@@ -9,7 +9,6 @@
 import corneltrack.policy.rollout.baselineOf
 import corneltrack.policy.rollout.decideRolloutStep
 import corneltrack.policy.rollout.judge
-import corneltrack.policy.rollout.mayTrial
 import corneltrack.router.relay.ConditionalWrite
 import corneltrack.router.relay.PeerContact
 import corneltrack.wire.event
@@ -17,6 +16,8 @@
 import org.apache.logging.log4j.Level
 import org.apache.logging.log4j.LogManager
 
+/** Covers the second for which the baseline stays open without need, and its last requests. */
+private const val MINIMUM_DRAIN_MS = 1_500L
 private val BOUNDS = RolloutBounds()
 private val logger = LogManager.getLogger("corneltrack.router.relay.rollout.RolloutDriver")
 
@@ -67,9 +68,8 @@
     }
 
     private fun judge(rollout: PoolRollout, contacts: List<PeerContact>) {
-        val nowMs = parts.clock().monotonicMs
         val unheardMs = parts.unheardMs(contacts)
-        val cutOff = !mayTrial(nowMs - unheardMs, nowMs)
+        val cutOff = !parts.mayTrial(contacts)
         if (cutOff && isolated.add(rollout.pool)) parts.log.stopped(rollout, "isolated", unheardMs)
         if (!cutOff) isolated.remove(rollout.pool)
         val trial = rollout.trial ?: return
@@ -122,6 +122,7 @@
         val routes = parts.routingState.table?.routes.orEmpty()
         val ofPool = routes.filter { route -> route.pools.any { it.pool == rollout.pool } }
         val limitMs = ofPool.maxOfOrNull { it.timeoutMs } ?: 0
-        return RolloutSchedule(minOf(rollout.durationMs.toLong(), limitMs), limitMs)
+        val drainMs = maxOf(minOf(rollout.durationMs.toLong(), limitMs), MINIMUM_DRAIN_MS)
+        return RolloutSchedule(drainMs, limitMs)
     }
 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/RolloutParts.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/RolloutParts.kt
@@ -2,6 +2,7 @@
 
 import corneltrack.policy.discovery.Clocks
 import corneltrack.policy.rollout.TRIAL_SHARE
+import corneltrack.policy.rollout.mayTrial
 import corneltrack.router.relay.EndpointStates
 import corneltrack.router.relay.PeerContact
 import corneltrack.router.relay.PeerLink
@@ -56,10 +57,18 @@
     fun of(pool: PoolId): PoolRollout = pools.getOrPut(pool) { PoolRollout(pool) }
 
     /** Returns the time since the store or a peer was heard, in ms, less the long poll of a router without peers. */
-    fun unheardMs(contacts: List<PeerContact>): Long {
-        val peerMs = contacts.filter { it.heard }.minOfOrNull { it.silentMs } ?: Long.MAX_VALUE
+    fun unheardMs(contacts: List<PeerContact>): Long =
+        minOf(peersSilentMs(contacts).minOrNull() ?: Long.MAX_VALUE, storeSilentMs(contacts))
+
+    /** Whether requests may go to a version on trial, given whom this router hears. */
+    fun mayTrial(contacts: List<PeerContact>): Boolean = mayTrial(storeSilentMs(contacts), peersSilentMs(contacts))
+
+    private fun storeSilentMs(contacts: List<PeerContact>): Long {
         val storeMs = minOf(currency.unservedMs, routingState.followers.minOf { it.unservedMs })
         val graceMs = if (contacts.isEmpty()) LONE_ROUTER_GRACE_MS else 0
-        return minOf(peerMs, maxOf(0, storeMs - graceMs))
+        return maxOf(0, storeMs - graceMs)
     }
+
+    private fun peersSilentMs(contacts: List<PeerContact>): List<Long> =
+        contacts.map { if (it.heard) it.silentMs else Long.MAX_VALUE }
 }
