--- a/corneltrack-control/src/main/kotlin/corneltrack/control/ConfigurationCommands.kt
+++ b/corneltrack-control/src/main/kotlin/corneltrack/control/ConfigurationCommands.kt
@@ -19,8 +19,14 @@
     override fun execute() = Unit
 }
 
-/** Checks a configuration file before it is sent, and shows what differs from the one in force. */
-internal class CheckConfigurationCommand : Subcommand("check", "Check a configuration file before it is sent") {
+/**
+ * Checks a configuration file before it is sent, and shows what differs from the one in force.
+ *
+ * @param check checks a configuration, and compares it with the one in force if there is one.
+ */
+internal class CheckConfigurationCommand(
+    private val check: (proposed: ByteArray, current: ByteArray?) -> ConfigurationReport = ::checkConfiguration,
+) : Subcommand("check", "Check a configuration file before it is sent") {
     private val file by argument(ArgType.String, "file", "The configuration to check")
     private val against by option(ArgType.String, "against", description = "The configuration in force")
     private val json by option(ArgType.Boolean, "json", description = "Print the result as JSON")
@@ -35,7 +41,7 @@
 
     /** Prints the report. Throws with [ExitCode.FINDINGS] for errors, with [ExitCode.USAGE] for an unreadable file. */
     fun run(output: OutputFormat, print: (String) -> Unit) {
-        val report = checkConfiguration(readFile(file), against?.let(::readFile))
+        val report = check(readFile(file), against?.let(::readFile))
         print(if (json == true || output == OutputFormat.JSON) prettyJson.encodeToString(report) else report.text())
         if (!report.valid) throw CommandException(ExitCode.FINDINGS, "$file: the configuration has errors")
     }
