--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EngineChooser.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EngineChooser.kt
@@ -12,6 +12,7 @@
 import corneltrack.policy.placement.ranked
 import corneltrack.policy.placement.retentionMs
 import corneltrack.world.EndpointId
+import corneltrack.world.PoolId
 import corneltrack.world.routing.EngineProfile
 
 /** The cost of the bytes of one request and its response between regions, expressed as engine time. */
@@ -71,10 +72,9 @@
         if (call.responseStarted) return PlacementRequest(generation, timeLeftMs, timeLeftMs, timeLeftMs)
         val elapsedMs = call.times.earlierWaitMs + nowMs - call.times.arrivedMs
         val fairShareRatio = call.workspace?.let { shares.fairShareRatio(it, nowMs) } ?: 0.0
-        val priorities = routingState.table?.streamPriorities(call.pool.id).orEmpty()
-        val limits =
-            admissionLimits(call.route.objectiveMs, elapsedMs, fairShareRatio).ranked(call.priority, priorities)
         val contended = shares.view(nowMs).contended
+        val unranked = admissionLimits(call.route.objectiveMs, elapsedMs, fairShareRatio)
+        val limits = if (contended) unranked.ranked(call.priority, rankedPriorities(call.pool.id)) else unranked
         call.fairShareRatio = fairShareRatio.takeIf { contended }
         val missWeight = if (contended) limits.missWeight else 1.0
         val pauseLimitMs = call.route.pauseLimitMs.toDouble()
@@ -88,6 +88,10 @@
         )
     }
 
+    /** Returns the priorities that compete for the engines of [pool]; none where the deployment does not ask for it. */
+    private fun rankedPriorities(pool: PoolId): Set<Int> =
+        if (settings.features.contention) routingState.table?.streamPriorities(pool).orEmpty() else emptySet()
+
     private fun prefixCaching(call: RelayedCall, profile: EngineProfile): PrefixCaching {
         val tokensPerSecond = routingState.table?.tokensPerSecond ?: 0.0
         val engines = routingState.directory.inPool(call.pool.id).size
