--- a/review/standins-2/Backend.java
+++ b/review/standins-2/Backend.java
@@ -35,7 +35,7 @@
 
     @Override
     protected boolean serve(Wire.Head head, InputStream in, OutputStream out) throws IOException {
-        byte[] body = Wire.readBody(in, head);
+        Wire.readBody(in, head);
         String attempt = head.header("X-Corneltrack-Attempt-Id");
         String expected = head.header("X-Corneltrack-Expect-Instance");
         if (expected != null && !expected.equals(id)) {
@@ -45,12 +45,12 @@
             return true;
         }
         begun.merge(attempt, 1, Integer::sum);
-        run(attempt, body, out);
+        run(head, attempt, out);
         return true;
     }
 
     /** Runs a request and writes its whole answer. */
-    protected abstract void run(String attempt, byte[] body, OutputStream out) throws IOException;
+    protected abstract void run(Wire.Head head, String attempt, OutputStream out) throws IOException;
 
     static String answerHead(String attempt, String more) {
         return "HTTP/1.1 200 OK\r\nX-Corneltrack-Attempt-Id: " + attempt
--- a/review/standins-2/Crowd.java
+++ b/review/standins-2/Crowd.java
@@ -16,6 +16,7 @@
     private static final long AFTER_MS = 20_000;
     private static final int LOOKUP_CLIENTS = 10;
     private static final long LOOKUP_PAUSE_MS = 200;
+    private static final int SLOW_BYTES_PER_S = 100_000;
     private static final int ALLOWED_CLOSES = 3;
     private static final int HALF_A_SECOND_MS = 500;
     private static final int ENOUGH_REQUESTS = 8;
@@ -79,6 +80,9 @@
         streams(traffic, scenario.usual(), USUAL_MS, scenario.usualPerS());
         Traffic.Prompt prompt = trouble ? scenario.troubled() : scenario.usual();
         router.logStands = trouble && scenario.logStands();
+        for (int index = 0; trouble && index < scenario.readers(); index++) {
+            traffic.documents(SLOW_BYTES_PER_S, scenario.troubleMs());
+        }
         streams(traffic, prompt, scenario.troubleMs(), trouble ? scenario.troubledPerS() : scenario.usualPerS());
         steady.join();
         router.logStands = false;
--- a/review/standins-2/Deployment.java
+++ b/review/standins-2/Deployment.java
@@ -6,6 +6,7 @@
     static final String HOST = "ficu95.example";
     static final String KEY = "asnmgkcuyj8pjbvk9m68";
     static final String OTHER_KEY = "k7b2ex5wa5xwyhks8nbk";
+    static final String DOCUMENTS = "/docu577/";
     static final String DESK = "wuno96b";
     static final String MODELS = "huvo11a";
     static final int DESK_SLOTS = 6;
@@ -17,9 +18,15 @@
     }
 
     static String configuration(int version) {
+        return configuration(version, tenant("hule930", KEY) + "," + tenant("zima412", OTHER_KEY));
+    }
+
+    /** Returns a configuration with the given list of tenants. */
+    static String configuration(int version, String tenants) {
         return "{\"version\":" + version + ",\"route_table\":["
             + route("r-draft", "/lohu930/", "streaming", 15_000, 1_000, 1, MODELS, false)
             + "," + route("r-submit", "/puxa403/", "non_idempotent", 800, 300, 1, DESK, false)
+            + "," + route("r-document", DOCUMENTS, "non_idempotent", 15_000, 1_000, 1, DESK, false)
             + "," + route("r-lookup", "/pufi791/", "idempotent", 800, 300, 2, DESK, false)
             + "],\"services\":["
             + "{\"name\":\"" + MODELS + "\",\"health_path\":\"/healthz\",\"max_connections\":370,\"protocol\":\"h1\","
@@ -30,11 +37,12 @@
             + "\"tls\":false,\"cold_start_s\":0.0,\"cold_per_s\":0.0}],"
             + "\"limits\":{\"max_header_bytes\":" + MAXIMUM_HEADER_BYTES + ",\"max_body_bytes\":" + MAXIMUM_BODY_BYTES
             + ",\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000,\"tokens_per_s\":315000},"
-            + "\"tenants\":[" + tenant("hule930", KEY) + "," + tenant("zima412", OTHER_KEY) + "]}";
+            + "\"tenants\":[" + tenants + "]}";
     }
 
-    private static String tenant(String name, String key) {
-        return "{\"name\":\"" + name + "\",\"api_keys\":[\"" + key + "\"],\"priority\":1,\"allowed_regions\":[]}";
+    static String tenant(String name, String... keys) {
+        String quoted = keys.length == 0 ? "" : "\"" + String.join("\",\"", keys) + "\"";
+        return "{\"name\":\"" + name + "\",\"api_keys\":[" + quoted + "],\"priority\":1,\"allowed_regions\":[]}";
     }
 
     private static String route(
--- a/review/standins-2/Engine.java
+++ b/review/standins-2/Engine.java
@@ -27,7 +27,7 @@
     }
 
     @Override
-    protected void run(String attempt, byte[] body, OutputStream out) throws IOException {
+    protected void run(Wire.Head request, String attempt, OutputStream out) throws IOException {
         pause(FIRST_EVENT_MS);
         String load = "X-Corneltrack-Server-Load: " + running.get() + ",0," + Deployment.MODEL_SLOTS + "\r\n";
         String head = "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n" + load;
--- a/review/standins-2/Scenario.java
+++ b/review/standins-2/Scenario.java
@@ -9,10 +9,11 @@
  * @param troubleMs how long the disruption lasts.
  * @param events the events of each stream.
  * @param logStands whether the reader of the router's log stands still during the disruption.
+ * @param readers the clients that read documents slowly during the disruption; none without it.
  */
 record Scenario(
     Traffic.Prompt steady, Traffic.Prompt usual, Traffic.Prompt troubled, double usualPerS, double troubledPerS,
-    long troubleMs, int events, boolean logStands
+    long troubleMs, int events, boolean logStands, int readers
 ) {
     static final int STEADY_PER_S = 16;
     private static final int HOT_USUAL_PER_S = 4;
@@ -31,6 +32,8 @@
     private static final int STRANGE_PER_S = 60;
     private static final long STRANGE_MS = 20_000;
     private static final long LOG_MS = 30_000;
+    private static final long READ_MS = 20_000;
+    private static final int SLOW_READERS = 80;
 
     static Scenario of(String name) {
         return switch (name) {
@@ -38,6 +41,7 @@
             case "heads" -> hotTenant(false, SHORT_BODY_BYTES, longHead());
             case "parts" -> manyParts();
             case "log" -> standingLog();
+            case "readers" -> slowReaders();
             default -> throw new IllegalArgumentException(name);
         };
     }
@@ -47,7 +51,7 @@
         Traffic.Prompt steady = prompt(Deployment.KEY, bodyBytes, chunked, headers);
         Traffic.Prompt hot = prompt(Deployment.OTHER_KEY, bodyBytes, chunked, headers);
         double hotPerS = HOT_USUAL_PER_S * HOT_FACTOR;
-        return new Scenario(steady, hot, hot, HOT_USUAL_PER_S, hotPerS, HOT_MS, LONG_STREAM_EVENTS, false);
+        return new Scenario(steady, hot, hot, HOT_USUAL_PER_S, hotPerS, HOT_MS, LONG_STREAM_EVENTS, false, 0);
     }
 
     private static Traffic.Prompt prompt(String key, int bodyBytes, boolean chunked, String headers) {
@@ -63,14 +67,22 @@
         Traffic.Prompt steady = shortPrompt(Deployment.KEY, USUAL_PARTS);
         Traffic.Prompt few = shortPrompt(Deployment.OTHER_KEY, USUAL_PARTS);
         Traffic.Prompt many = shortPrompt(Deployment.OTHER_KEY, MANY_PARTS);
-        return new Scenario(steady, few, many, STRANGE_PER_S, STRANGE_PER_S, STRANGE_MS, SHORT_STREAM_EVENTS, false);
+        return new Scenario(steady, few, many, STRANGE_PER_S, STRANGE_PER_S, STRANGE_MS, SHORT_STREAM_EVENTS, false, 0);
     }
 
     /** The usual traffic while nobody reads the log. */
     private static Scenario standingLog() {
         Traffic.Prompt steady = shortPrompt(Deployment.KEY, USUAL_PARTS);
         Traffic.Prompt other = shortPrompt(Deployment.OTHER_KEY, USUAL_PARTS);
-        return new Scenario(steady, other, other, HOT_USUAL_PER_S, HOT_USUAL_PER_S, LOG_MS, SHORT_STREAM_EVENTS, true);
+        return new Scenario(steady, other, other, HOT_USUAL_PER_S, HOT_USUAL_PER_S, LOG_MS, SHORT_STREAM_EVENTS, true, 0);
+    }
+
+    /** The usual traffic, with bodies that have a length, while many clients read long answers slowly. */
+    private static Scenario slowReaders() {
+        Traffic.Prompt steady = prompt(Deployment.KEY, LONG_BODY_BYTES, false, "");
+        Traffic.Prompt other = prompt(Deployment.OTHER_KEY, LONG_BODY_BYTES, false, "");
+        return new Scenario(
+            steady, other, other, HOT_USUAL_PER_S, HOT_USUAL_PER_S, READ_MS, LONG_STREAM_EVENTS, false, SLOW_READERS);
     }
 
     private static String longHead() {
--- a/review/standins-2/Traffic.java
+++ b/review/standins-2/Traffic.java
@@ -33,11 +33,15 @@
     static final int LOOKUP_DEADLINE_MS = 1_500;
     static final int STREAM_TIMEOUT_MS = 15_000;
     static final int LOOKUP_TIMEOUT_MS = 800;
+    private static final long READER_PAUSE_MS = 500;
+    private static final int READER_BUFFER_BYTES = 16_384;
     private static final int CHUNK_BYTES = 16_384;
     private final int port;
     private final long startMs = System.currentTimeMillis();
     final ConcurrentLinkedQueue<Sent> sent = new ConcurrentLinkedQueue<>();
     final AtomicInteger unsent = new AtomicInteger();
+    final AtomicInteger documentsRead = new AtomicInteger();
+    final AtomicInteger documentsCut = new AtomicInteger();
     volatile boolean stopped;
 
     Traffic(int port) {
@@ -54,7 +58,11 @@
     }
 
     private static byte[] lookup(String id) {
-        return Wire.ascii(head("GET", "/pufi791/a", Deployment.KEY, id, LOOKUP_DEADLINE_MS, ""));
+        return lookup(Deployment.KEY, id);
+    }
+
+    static byte[] lookup(String key, String id) {
+        return Wire.ascii(head("GET", "/pufi791/a", key, id, LOOKUP_DEADLINE_MS, ""));
     }
 
     /** Sends lookups one after the other until the traffic stops, on a connection that is kept while it is open. */
@@ -78,6 +86,26 @@
         });
     }
 
+    /** Asks for one document after the other for a while, and reads each at {@code bytesPerS}. */
+    void documents(int bytesPerS, long forMs) {
+        long endMs = nowMs() + forMs;
+        Listener.start("reader", () -> {
+            while (nowMs() < endMs) {
+                try (Caller caller = new Caller(port, STREAM_DEADLINE_MS, READER_BUFFER_BYTES)) {
+                    String path = Deployment.DOCUMENTS + "a";
+                    String more = "Content-Length: 0\r\n";
+                    caller.out.write(Wire.ascii(
+                        head("POST", path, Deployment.OTHER_KEY, Caller.newId(), STREAM_DEADLINE_MS, more)));
+                    documentsRead.incrementAndGet();
+                    caller.readSlowly(bytesPerS);
+                } catch (IOException cut) {
+                    documentsCut.incrementAndGet();
+                }
+                Backend.pause(READER_PAUSE_MS);
+            }
+        });
+    }
+
     /** What a request for a stream holds; its prompt has so many parts, none of which other requests share. */
     record Prompt(String key, int bodyBytes, boolean chunked, String moreHeaders, int tokens, int parts) {
         /** Returns the parts as a list of id:tokens, of the same number of tokens each. */
@@ -173,6 +201,7 @@
     void record(Path file, List<? extends Backend> servers, List<String> summary) throws IOException {
         try (PrintWriter out = new PrintWriter(Files.newBufferedWriter(file))) {
             summary.forEach(out::println);
+            out.println("documents asked for: " + documentsRead.get() + ", of them broken off: " + documentsCut.get());
             out.println("connections refused or lost before the request: " + unsent.get());
             out.println("sent_ms ended_ms kind kept id begun result");
             for (Sent request : sent) {
