Keep requests in progress whatever their heads hold, and hold less of them

Cause: a head was accounted as decoded until its response had ended (33 KB for 13,900 bytes in 35 lines), and where the bound was exceeded the connection that held most gave way even if its request had been passed on.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/Attempt.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/Attempt.kt
@@ -224,7 +224,7 @@
         /** An engine need not state request ids; one that has done so on this connection is held to it. */
         private fun isStray(connection: Channel, head: HttpResponse): Boolean {
             val stated = head.headers().getAll(REQUEST_ID_HEADER)
-            val own = stated.isNotEmpty() && stated.all { it == request.message.headers.get(REQUEST_ID_HEADER) }
+            val own = stated.isNotEmpty() && stated.all { it == request.identity.id }
             val statedBefore = connection.attr(STATES_REQUESTS)
             if (own) statedBefore.set(true)
             return !own && statedBefore.get() == true
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/Gateway.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/Gateway.kt
@@ -98,7 +98,12 @@
             RequestIdentity(admission.id, admission.workspace, admission.pool, fingerprint),
             RequestTimes(nowMs, nowMs + admission.deadlineMs),
             idempotent,
-            OutgoingMessage(head.method(), head.uri(), head.headers().forEndpoint(admission.id), request.body),
+            OutgoingMessage(
+                head.method(),
+                head.uri(),
+                request.keep(head.headers().forEndpoint(admission.id)),
+                request.body,
+            ),
             loop,
             sink,
         )
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/RoutedRequest.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/RoutedRequest.kt
@@ -1,6 +1,7 @@
 package corneltrack.router
 
 import corneltrack.policy.QueuedRequest
+import corneltrack.router.callers.CompactHeaders
 import corneltrack.router.callers.ResponseSink
 import corneltrack.world.Endpoint
 import corneltrack.world.EndpointId
@@ -10,7 +11,6 @@
 import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpHeaderNames
-import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpVersion
 
@@ -18,7 +18,7 @@
 internal data class OutgoingMessage(
     val method: HttpMethod,
     val path: String,
-    val headers: HttpHeaders,
+    val headers: CompactHeaders,
     val body: ByteArray,
 ) {
     override fun equals(other: Any?): Boolean = this === other
@@ -29,7 +29,7 @@
 /** Returns the HTTP request for [endpoint]; its engine buffers the response for resumption unless [stream] is null. */
 internal fun OutgoingMessage.toHttpRequest(endpoint: Endpoint, stream: ResumableStream?): DefaultFullHttpRequest {
     val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path, Unpooled.wrappedBuffer(body))
-    request.headers().set(headers)
+    headers.addTo(request.headers())
     request.headers().set(HttpHeaderNames.HOST, endpoint.address)
     stream?.let { request.headers().set(STREAM_HEADER, it.id) }
     if (body.isNotEmpty()) {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerConnection.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerConnection.kt
@@ -7,6 +7,7 @@
 import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
@@ -25,8 +26,23 @@
 /** Up to so many undecoded bytes the connection is still read, so that the disconnect of its caller is seen. */
 private const val UNDECODED_BYTES_READ = 512
 
-/** A request of a caller with its complete body. */
-internal class CallerRequest(val head: HttpRequest, val body: ByteArray)
+/**
+ * A request of a caller with its complete body.
+ *
+ * @property head the decoded head, which must not be held once the request has been handled; [keep] what is needed.
+ */
+internal class CallerRequest(val head: HttpRequest, val body: ByteArray) {
+    /** The memory of what is kept of the head while the request is in progress, in bytes. */
+    var keptHeadBytes: Long = 0
+        private set
+
+    /** Returns [headers] in the form in which they are held while the request is in progress, and accounts for them. */
+    fun keep(headers: HttpHeaders): CompactHeaders {
+        val kept = CompactHeaders(headers)
+        keptHeadBytes = kept.sizeBytes.toLong() + head.uri().length
+        return kept
+    }
+}
 
 /** Handles a complete request, whose response goes to the sink. Returns a function that cancels the request. */
 internal typealias CallerRequestHandler = (request: CallerRequest, loop: EventLoop, sink: ResponseSink) -> (() -> Unit)
@@ -70,6 +86,9 @@
     private var body: RequestBody? = null
     private var response: CallerResponse? = null
     private var closing = false
+
+    /** Whether the connection closes after its current response, as nothing is accounted for it any more. */
+    private var unaccounted = false
     private val gate = RequestGate()
 
     /** The codec of this connection. */
@@ -240,12 +259,13 @@
                 if (idle) idleTimer.restart(context.executor())
                 gate.resume()
             }
-            val current = CallerResponse(context, output, { keepAlive && connections.mayStayOpen }, onWritten) {
-                onResponseEnded(context)
-            }
+            val mayStayOpen = { keepAlive && !unaccounted && connections.mayStayOpen }
+            val current = CallerResponse(context, output, mayStayOpen, onWritten) { onResponseEnded(context) }
             response = current
             val cancel = handle(request, context.channel().eventLoop() as EventLoop, current)
             current.onDisconnect = cancel
+            part.hold(HeldKind.HEADS, 0)
+            if (response === current) part.hold(HeldKind.IN_PROGRESS, request.keptHeadBytes)
         }
 
         fun awaitRequest(context: ChannelHandlerContext) {
@@ -256,7 +276,7 @@
 
         private fun onResponseEnded(context: ChannelHandlerContext) {
             response = null
-            part.hold(HeldKind.HEADS, 0)
+            part.hold(HeldKind.IN_PROGRESS, 0)
             if (head == null) awaitRequest(context)
             gate.resume()
         }
@@ -303,12 +323,15 @@
         override fun giveWay(kind: HeldKind) {
             val current = context ?: return
             if (!current.executor().inEventLoop()) return current.executor().execute { giveWay(kind) }
-            if (kind == HeldKind.HEADS && response == null && !closing) {
-                connections.shed.count(ShedReason.HEAD_MEMORY)
-                refuseAndClose(current, NO_HEAD_MEMORY)
-            } else {
-                cut(if (kind == HeldKind.HEADS) ShedReason.HEAD_MEMORY else ShedReason.WAITING_MEMORY)
-            }
+            if (kind == HeldKind.HEADS) refuseHead(current) else cut(ShedReason.WAITING_MEMORY)
+        }
+
+        /** Refuses the request that is being read; one that has been handled meanwhile is served. */
+        private fun refuseHead(current: ChannelHandlerContext) {
+            unaccounted = true
+            if (response != null || closing) return
+            connections.shed.count(ShedReason.HEAD_MEMORY)
+            refuseAndClose(current, NO_HEAD_MEMORY)
         }
 
         /** Closes the connection before the end of its response, which cancels the request at its endpoint. */
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerMemory.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerMemory.kt
@@ -33,9 +33,12 @@
 
 /** What connections hold that is bounded together. */
 internal enum class HeldKind {
-    /** Heads, by what they cost once decoded, on the heap. */
+    /** Heads of requests that are being read, by what they cost once decoded, on the heap. */
     HEADS,
 
+    /** What is kept of the heads of requests that have been passed on, on the heap. Never gives way. */
+    IN_PROGRESS,
+
     /** Bytes received and not decoded, and responses that the caller has not read, in direct memory. */
     WAITING,
 }
@@ -43,7 +46,7 @@
 /**
  * The bounds of [CallerMemory], in bytes.
  *
- * @property headBytes what the decoded heads of all connections may take.
+ * @property headBytes what the heads of all connections may take, decoded ones and those of requests in progress.
  * @property totalHeapBytes what heads and bodies together may take; bodies that grow take it from large heads.
  * @property waitingBytes what all connections may have waiting to be decoded or to be read.
  */
@@ -58,7 +61,10 @@
     /** Whether the connection takes longer than other callers to read what waits for it. */
     val slow: Boolean
 
-    /** Refuses or cuts off what the connection does, since it holds more than others while memory is short. */
+    /**
+     * Refuses the request that is being read, or cuts off the response that the caller does not read, since the
+     * connection holds more than others while memory is short.
+     */
     fun giveWay(kind: HeldKind)
 }
 
@@ -66,8 +72,9 @@
  * Accounts for what the router holds for its callers beside bodies, and bounds each kind over all connections.
  *
  * Answers clients that together take more than the process has, each within its limits. Where a bound is exceeded, the
- * connections that hold most give way, not the newest, so that ordinary callers are served beside a crowd. One
- * connection alone never gives way. Thread-safe, but for each [Part], which belongs to one connection.
+ * connections that hold most give way, not the newest, so that ordinary callers are served beside a crowd. For the
+ * memory of heads, only requests that have not been passed on give way. One connection alone never gives way.
+ * Thread-safe, but for each [Part], which belongs to one connection.
  *
  * @param bodyBytes returns what the bodies of all requests hold.
  */
@@ -76,14 +83,13 @@
     private val bodyBytes: () -> Long = { 0 },
 ) {
     private val parts: MutableSet<Part> = ConcurrentHashMap.newKeySet()
-    private val heads = AtomicLong()
-    private val waiting = AtomicLong()
+    private val totals = List(HeldKind.entries.size) { AtomicLong() }
 
     /** Whether responses must not be read far ahead of their callers. */
-    val short: Boolean get() = waiting.get() > bounds.waitingBytes * SHORT_FRACTION
+    val short: Boolean get() = heldBytes(HeldKind.WAITING) > bounds.waitingBytes * SHORT_FRACTION
 
     /** Returns the bytes that all connections hold of [kind]. */
-    fun heldBytes(kind: HeldKind): Long = total(kind).get()
+    fun heldBytes(kind: HeldKind): Long = totals[kind.ordinal].get()
 
     /** Whether a connection with [waitingBytes] waiting may get more of its response. */
     fun mayWait(waitingBytes: Long): Boolean =
@@ -92,60 +98,77 @@
     /** Returns the part of a new connection, which holds nothing yet. */
     fun newPart(holder: MemoryHolder): Part = Part(holder)
 
-    private fun total(kind: HeldKind) = if (kind == HeldKind.HEADS) heads else waiting
-
     /** Has large heads give way to bodies, where both together take more than there is for them. */
-    fun onBodiesGrown() = makeRoom(HeldKind.HEADS)
-
-    private fun bound(kind: HeldKind): Long = if (kind == HeldKind.HEADS) headsBound() else bounds.waitingBytes
+    fun onBodiesGrown() = makeRoomForHeads()
 
     private fun headsBound(): Long {
         val reserve = (bounds.headBytes * HEADS_RESERVE_FRACTION).toLong()
         return minOf(bounds.headBytes, maxOf(reserve, bounds.totalHeapBytes - bodyBytes()))
     }
 
-    /** Has connections give way until the bound of [kind] is kept, or nobody is left who may have to. */
-    private fun makeRoom(kind: HeldKind) {
-        while (heldBytes(kind) > bound(kind)) {
-            val holders = parts.filter { it.held(kind) > ORDINARY_BYTES }
-            val excess = heldBytes(kind) > bound(kind) * EXCESS_FACTOR
-            val candidates = if (kind == HeldKind.HEADS || excess) holders else holders.filter { it.holder.slow }
-            val largest = candidates.maxByOrNull { it.held(kind) }
+    private fun makeRoom(kind: HeldKind) = when (kind) {
+        HeldKind.HEADS -> makeRoomForHeads()
+        HeldKind.IN_PROGRESS -> Unit
+        HeldKind.WAITING -> makeRoomForWaiting()
+    }
+
+    /** Has requests that are being read give way until the bound is kept; those in progress stay, and count. */
+    private fun makeRoomForHeads() {
+        while (heldBytes(HeldKind.HEADS) + heldBytes(HeldKind.IN_PROGRESS) > headsBound()) {
+            val holders = parts.filter { it.held(HeldKind.HEADS) + it.held(HeldKind.IN_PROGRESS) > ORDINARY_BYTES }
+            val largest = holders.maxByOrNull { it.held(HeldKind.HEADS) }
+            if (largest == null || largest.held(HeldKind.HEADS) <= ORDINARY_BYTES || holders.size == 1) return
+            largest.giveWay(HeldKind.HEADS)
+        }
+    }
+
+    /** Has slow readers give way until the bound is kept, or whoever holds most where it is far exceeded. */
+    private fun makeRoomForWaiting() {
+        while (heldBytes(HeldKind.WAITING) > bounds.waitingBytes) {
+            val holders = parts.filter { it.held(HeldKind.WAITING) > ORDINARY_BYTES }
+            val excess = heldBytes(HeldKind.WAITING) > bounds.waitingBytes * EXCESS_FACTOR
+            val candidates = if (excess) holders else holders.filter { it.slow }
+            val largest = candidates.maxByOrNull { it.held(HeldKind.WAITING) }
             if (largest == null || holders.size == 1) return
-            largest.release()
-            largest.holder.giveWay(kind)
+            largest.giveWay(HeldKind.WAITING)
         }
     }
 
     /** What one connection holds. */
-    inner class Part(val holder: MemoryHolder) {
-        private val headBytes = AtomicLong()
-        private val waitingBytes = AtomicLong()
+    inner class Part(private val holder: MemoryHolder) {
+        private val amounts = List(HeldKind.entries.size) { AtomicLong() }
 
         /** Set once the connection has given way, after which nothing is accounted for it. */
         @Volatile
         private var released = false
 
+        /** Whether the connection takes longer than other callers to read what waits for it. */
+        val slow: Boolean get() = holder.slow
+
         /** Returns the bytes held of [kind]. */
-        fun held(kind: HeldKind): Long = amount(kind).get()
+        fun held(kind: HeldKind): Long = amounts[kind.ordinal].get()
 
         /** Holds [newBytes] of [kind] instead of what was held before; others, or this, may have to give way. */
         fun hold(kind: HeldKind, newBytes: Long) {
             if (released) return
-            val added = newBytes - amount(kind).getAndSet(newBytes)
+            val added = newBytes - amounts[kind.ordinal].getAndSet(newBytes)
             if (added == 0L) return
             if (newBytes > ORDINARY_BYTES) parts += this
-            val heldAfter = total(kind).addAndGet(added)
-            if (added > 0 && heldAfter > bound(kind)) makeRoom(kind)
+            totals[kind.ordinal].addAndGet(added)
+            if (added > 0) makeRoom(kind)
         }
 
         /** Holds nothing any more, for good. */
         fun release() {
             released = true
             parts -= this
-            HeldKind.entries.forEach { kind -> total(kind).addAndGet(-amount(kind).getAndSet(0)) }
+            HeldKind.entries.forEach { kind -> totals[kind.ordinal].addAndGet(-amounts[kind.ordinal].getAndSet(0)) }
         }
 
-        private fun amount(kind: HeldKind) = if (kind == HeldKind.HEADS) headBytes else waitingBytes
+        /** Frees what is held, and has the connection carry it out for [kind]. */
+        fun giveWay(kind: HeldKind) {
+            release()
+            holder.giveWay(kind)
+        }
     }
 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallHandler.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallHandler.kt
@@ -121,7 +121,6 @@
         admission: CallAdmission.Accepted,
         sink: ResponseSink,
     ): RelayedCall {
-        val head = request.head
         return RelayedCall(
             id = metadata.requestId ?: NO_REQUEST_ID,
             requestId = metadata.requestId,
@@ -131,7 +130,7 @@
             regions = allowedRegions(admission),
             generation = metadata.readGeneration(),
             times = callTimes(metadata, admission),
-            message = CallerMessage(head.method(), head.uri(), head.headers(), request.body),
+            message = CallerMessage(request),
             sink = sink,
             priority = admission.workspace?.priority ?: admission.route.priority,
         )
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointAttempt.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointAttempt.kt
@@ -3,7 +3,6 @@
 import corneltrack.policy.limits.EndpointSignal
 import corneltrack.policy.limits.RelayAttemptResult
 import corneltrack.policy.limits.stallLimitMs
-import corneltrack.router.endToEnd
 import corneltrack.world.routing.ResponseMode
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
@@ -254,11 +253,11 @@
     val content = Unpooled.wrappedBuffer(message.body)
     val sent = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, message.method, message.uri, content)
     val remainingMs = maxOf(1, times.callerDeadlineMs - context.nowMs())
-    sent.headers().set(message.headers.endToEnd())
+    message.headers.addTo(sent.headers())
     val prefixSource = target.prefixSource?.endpoint?.address
     val metadata = AttemptMetadata(target.endpoint.id.value, workspace?.value, remainingMs, lastEventId, prefixSource)
     context.headerMapping.writeRequest(sent.headers(), metadata)
-    if (content.isReadable || message.headers.contains(HttpHeaderNames.CONTENT_LENGTH)) {
+    if (content.isReadable || sent.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
         sent.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes())
     }
     return sent
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayedCall.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayedCall.kt
@@ -1,20 +1,34 @@
 package corneltrack.router.relay
 
 import corneltrack.policy.placement.Generation
+import corneltrack.router.callers.CallerRequest
+import corneltrack.router.callers.CompactHeaders
 import corneltrack.router.callers.ResponseSink
 import corneltrack.router.digest
+import corneltrack.router.endToEnd
 import corneltrack.world.EndpointId
 import corneltrack.world.RegionId
 import corneltrack.world.WorkspaceId
 import corneltrack.world.routing.Route
 import corneltrack.world.routing.RoutedPool
-import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 
 private const val FINGERPRINT_LENGTH = 16
 
-/** Holds a caller's request as received; every attempt forwards it. */
-internal class CallerMessage(val method: HttpMethod, val uri: String, val headers: HttpHeaders, val body: ByteArray) {
+/** Holds what every attempt forwards of a caller's request: its end-to-end headers and its body. */
+internal class CallerMessage(
+    val method: HttpMethod,
+    val uri: String,
+    val headers: CompactHeaders,
+    val body: ByteArray,
+) {
+    constructor(request: CallerRequest) : this(
+        request.head.method(),
+        request.head.uri(),
+        request.keep(request.head.headers().endToEnd()),
+        request.body,
+    )
+
     /** Returns a hash of workspace, method, URI and body that is the same for each retry of the request. */
     fun fingerprint(workspace: WorkspaceId?): String {
         val caller = "${workspace?.value} $method $uri"
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/WarmUp.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/WarmUp.kt
@@ -129,7 +129,6 @@
         sink: ResponseSink,
         nowMs: Long,
     ): RelayedCall {
-        val head = request.head
         val deadlineMs = nowMs + model.route.timeoutMs
         return RelayedCall(
             id = WORKSPACE.value,
@@ -140,7 +139,7 @@
             regions = emptySet(),
             generation = metadata.readGeneration(),
             times = CallTimes(nowMs, deadlineMs, deadlineMs, earlierWaitMs = 0),
-            message = CallerMessage(head.method(), head.uri(), head.headers(), request.body),
+            message = CallerMessage(request),
             sink = sink,
         )
     }
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/callers/CallerMemoryTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/callers/CallerMemoryTest.kt
@@ -60,6 +60,19 @@
         assertEquals(listOf("large HEADS"), log)
     }
 
+    @Test
+    fun `requests in progress never give way but take room from heads that are read`() {
+        part("running").hold(HeldKind.IN_PROGRESS, 900 * KIB)
+        part("other").hold(HeldKind.IN_PROGRESS, 90 * KIB)
+
+        part("arriving").hold(HeldKind.HEADS, 30 * KIB)
+        bodyBytes = 3_000 * KIB
+        memory.onBodiesGrown()
+
+        assertEquals(listOf("arriving HEADS"), log)
+        assertEquals(990 * KIB, memory.heldBytes(HeldKind.IN_PROGRESS))
+    }
+
     @Test
     fun `slow readers give way before fast ones that hold more`() {
         part("fast").hold(HeldKind.WAITING, 600 * KIB)
