Never let the thread that serves wait for the reader of the log

Cause: Log4j's asynchronous appender drops events when its buffer is full, but reports that through its status logger to standard error, on the event loop. The class is output that can't be refused on that thread: traces of uncaught exceptions and other writes to standard error, warnings of the virtual machine, and the log of the product's own router, which was written synchronously.

A bounded writer with a thread of its own takes the log and, once a router serves, standard error. What is dropped is counted (log_lines_dropped, corneltrack_log_lines_dropped_total).

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/Main.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/Main.kt
@@ -1,5 +1,6 @@
 package corneltrack.router
 
+import corneltrack.router.logging.boundStandardError
 import corneltrack.wire.event
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ArgType
@@ -46,6 +47,7 @@
 }
 
 private fun run(settings: RouterSettings) {
+    boundStandardError()
     val router = try {
         Router(settings).start()
     } catch (fault: IOException) {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayMetrics.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayMetrics.kt
@@ -3,7 +3,9 @@
 import corneltrack.policy.discovery.LeavingSource
 import corneltrack.policy.limits.RelayAttemptResult
 import corneltrack.router.callers.Refusal
+import corneltrack.router.logging.droppedEntries
 import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.CounterWithCallback
 import io.prometheus.metrics.core.metrics.Gauge
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
@@ -56,6 +58,12 @@
     private val warmUpRequests = Gauge.builder().name("corneltrack_relay_warm_up_requests")
         .help("Made-up requests that were run to have the code compiled, once all have.").register(registry)
 
+    init {
+        CounterWithCallback.builder().name("corneltrack_log_lines_dropped")
+            .help("Lines of the log that were dropped since nobody read it.")
+            .callback { it.call(droppedEntries.toDouble()) }.register(registry)
+    }
+
     /** What callers hold beside bodies. */
     val callers: CallerMemoryMetrics = CallerMemoryMetrics(registry)
 
