Assemble bodies in chunks from pieces that are accounted as they are allocated

Cause: the buffer of a body without an announced length doubled (128 KiB for 72,000 bytes) and was copied as a whole at its end, and both stayed reachable, while BodyMemory counted the bytes received: about a third of what the heap held.

A body grows in pieces of at most 8 KiB that are held, hashed and sent as they are; what is accounted is what is allocated. The timer that looks for stalled streams, which held a request with its body beyond its end, is cancelled with its attempt, and bodies leave room for the heads of requests in progress.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/Admission.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/Admission.kt
@@ -72,7 +72,7 @@
 
 private fun admitChat(request: CallerRequest, view: RouterView, workspace: WorkspaceId): Admission {
     val model = try {
-        val body = Json.parseToJsonElement(String(request.body, Charsets.UTF_8)) as? JsonObject
+        val body = Json.parseToJsonElement(String(request.body.toByteArray(), Charsets.UTF_8)) as? JsonObject
         (body?.get("model") as? JsonPrimitive)?.takeIf { it.isString }?.content
     } catch (_: SerializationException) {
         return Admission.Refused(BAD_JSON)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/Digest.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/Digest.kt
@@ -1,13 +1,19 @@
 package corneltrack.router
 
+import corneltrack.router.callers.BodyContent
 import java.security.MessageDigest
 
 /** Returns the SHA-256 of [parts] in lower-case hexadecimal. Each part is prefixed with its length. */
-internal fun digest(vararg parts: ByteArray): String {
+internal fun digest(vararg parts: ByteArray): String = digest(parts.map { BodyContent(it) })
+
+/** Returns the SHA-256 of [text] and [body] in the same way. */
+internal fun digest(text: String, body: BodyContent): String = digest(listOf(BodyContent(text.toByteArray()), body))
+
+private fun digest(parts: List<BodyContent>): String {
     val sha = MessageDigest.getInstance("SHA-256")
     parts.forEach { part ->
         sha.update("${part.size}:".toByteArray())
-        sha.update(part)
+        part.addTo(sha)
     }
     return hexadecimal(sha.digest())
 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/Gateway.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/Gateway.kt
@@ -92,7 +92,7 @@
         val head = request.head
         val nowMs = clock()
         val requestLine = "${admission.workspace} ${head.method()} ${head.uri()}"
-        val fingerprint = digest(requestLine.toByteArray(), request.body)
+        val fingerprint = digest(requestLine, request.body)
         val idempotent = admission.idempotencyKey == null && admission.pool.isIdempotent(head.method().name())
         return RoutedRequest(
             RequestIdentity(admission.id, admission.workspace, admission.pool, fingerprint),
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/RoutedRequest.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/RoutedRequest.kt
@@ -1,13 +1,13 @@
 package corneltrack.router
 
 import corneltrack.policy.QueuedRequest
+import corneltrack.router.callers.BodyContent
 import corneltrack.router.callers.CompactHeaders
 import corneltrack.router.callers.ResponseSink
 import corneltrack.world.Endpoint
 import corneltrack.world.EndpointId
 import corneltrack.world.Pool
 import corneltrack.world.WorkspaceId
-import io.netty.buffer.Unpooled
 import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -19,7 +19,7 @@
     val method: HttpMethod,
     val path: String,
     val headers: CompactHeaders,
-    val body: ByteArray,
+    val body: BodyContent,
 ) {
     override fun equals(other: Any?): Boolean = this === other
 
@@ -28,11 +28,11 @@
 
 /** Returns the HTTP request for [endpoint]; its engine buffers the response for resumption unless [stream] is null. */
 internal fun OutgoingMessage.toHttpRequest(endpoint: Endpoint, stream: ResumableStream?): DefaultFullHttpRequest {
-    val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path, Unpooled.wrappedBuffer(body))
+    val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path, body.toByteBuf())
     headers.addTo(request.headers())
     request.headers().set(HttpHeaderNames.HOST, endpoint.address)
     stream?.let { request.headers().set(STREAM_HEADER, it.id) }
-    if (body.isNotEmpty()) {
+    if (body.size > 0) {
         request.headers().setInt(HttpHeaderNames.CONTENT_LENGTH, body.size)
     }
     return request
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/callers/BodyMemory.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/callers/BodyMemory.kt
@@ -5,12 +5,15 @@
 /** Bodies up to this size may use a part of the memory that is kept from longer ones. */
 private const val SHORT_BODY_BYTES = 64 * 1024L
 
-/** The part of the heap that bodies may occupy; each is copied once more, outside the heap, while it is sent. */
+/** The part of the heap that bodies may occupy; they are sent as they are held. */
 private const val BODIES_HEAP_FRACTION = 0.5
 
 /** The part of the heap that is added to it for short bodies. */
 private const val SHORT_BODIES_HEAP_FRACTION = 0.0625
 
+/** The part of the heap that bodies and what is kept of heads may occupy together. */
+private const val TOTAL_HEAP_FRACTION = 0.625
+
 /**
  * Bounds the memory that the bodies of all requests occupy together, from their heads until their responses have been
  * written. Answers many callers that send long bodies at once, each within its limit, which without a bound leaves
@@ -20,10 +23,14 @@
  *
  * @param maximumBytes what all bodies may occupy.
  * @param shortBytes what short bodies may occupy beyond that.
+ * @param totalBytes what bodies and [besideBytes] may occupy together.
+ * @param besideBytes returns what is held beside bodies that can't give way to them.
  */
 internal class BodyMemory(
     private val maximumBytes: Long = heapFraction(BODIES_HEAP_FRACTION),
     private val shortBytes: Long = heapFraction(SHORT_BODIES_HEAP_FRACTION),
+    private val totalBytes: Long = heapFraction(TOTAL_HEAP_FRACTION),
+    private val besideBytes: () -> Long = { 0 },
 ) {
     private val held = AtomicLong()
 
@@ -43,11 +50,19 @@
             if (added <= 0) return true
             val limit = if (newBytes <= SHORT_BODY_BYTES) maximumBytes + shortBytes else maximumBytes
             val heldAfter = held.addAndGet(added)
-            val fits = heldAfter == newBytes || heldAfter <= limit
+            val fits = heldAfter == newBytes || heldAfter <= minOf(limit, totalBytes - besideBytes())
             if (fits) bytes = newBytes else held.addAndGet(-added)
             return fits
         }
 
+        /** Holds [newBytes] instead of more. */
+        fun shrinkTo(newBytes: Long) {
+            val freed = bytes - newBytes
+            if (freed <= 0) return
+            held.addAndGet(-freed)
+            bytes = newBytes
+        }
+
         /** Holds nothing any more. */
         fun release() {
             held.addAndGet(-bytes)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerConnection.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerConnection.kt
@@ -31,7 +31,7 @@
  *
  * @property head the decoded head, which must not be held once the request has been handled; [keep] what is needed.
  */
-internal class CallerRequest(val head: HttpRequest, val body: ByteArray) {
+internal class CallerRequest(val head: HttpRequest, val body: BodyContent) {
     /** The memory of what is kept of the head while the request is in progress, in bytes. */
     var keptHeadBytes: Long = 0
         private set
@@ -247,7 +247,7 @@
         private fun onComplete(context: ChannelHandlerContext, received: RequestBody) {
             timer?.cancel(false)
             timer = null
-            val request = CallerRequest(head!!, received.bytes())
+            val request = CallerRequest(head!!, received.content())
             head = null
             body = null
             val keepAlive = HttpUtil.isKeepAlive(request.head)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointAttempt.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointAttempt.kt
@@ -5,12 +5,12 @@
 import corneltrack.policy.limits.stallLimitMs
 import corneltrack.world.routing.ResponseMode
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpVersion
+import java.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
 
 private const val FIRST_SUCCESS = 200
@@ -56,6 +56,9 @@
     private var reused = false
     private var closed = false
 
+    /** The next check for a stall, which holds the request with its body until it runs or is cancelled. */
+    private var stallCheck: ScheduledFuture<*>? = null
+
     /** Whether the request was handed to a connection. */
     var sent: Boolean = false
         private set
@@ -75,7 +78,7 @@
     }
 
     private fun checkStallAfter(delayMs: Long) {
-        context.loop.schedule(::checkStall, delayMs, TimeUnit.MILLISECONDS)
+        stallCheck = context.loop.schedule(::checkStall, delayMs, TimeUnit.MILLISECONDS)
     }
 
     /**
@@ -127,6 +130,7 @@
     fun close() {
         if (closed) return
         closed = true
+        stallCheck?.cancel(false)
         exchange.cancel()
         if (target.engineRequest != null) {
             target.state.engine.onEnd(target.engineRequest)
@@ -250,7 +254,7 @@
 
 /** Returns the caller's message with the headers that the endpoint of [target] expects. */
 private fun RelayedCall.messageTo(target: Target, context: RelayContext): DefaultFullHttpRequest {
-    val content = Unpooled.wrappedBuffer(message.body)
+    val content = message.body.toByteBuf()
     val sent = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, message.method, message.uri, content)
     val remainingMs = maxOf(1, times.callerDeadlineMs - context.nowMs())
     message.headers.addTo(sent.headers())
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
@@ -10,8 +10,10 @@
 import corneltrack.router.callers.BodyMemory
 import corneltrack.router.callers.CallerConnection
 import corneltrack.router.callers.CallerConnections
+import corneltrack.router.callers.CallerMemory
 import corneltrack.router.callers.CallerServer
 import corneltrack.router.callers.ConnectionLimits
+import corneltrack.router.callers.HeldKind
 import corneltrack.router.monotonicClock
 import corneltrack.router.relay.rollout.AllVersions
 import corneltrack.router.relay.rollout.RolloutContext
@@ -130,11 +132,11 @@
         monotonicClock,
         versions,
     )
-    private val bodyMemory = BodyMemory()
-    private val connections =
-        CallerConnections(settings.maximumCallerConnections, bodyMemory, settings.callerMemory.newMemory(bodyMemory)) {
-            refusals.onBodyRefused(it)
-        }
+    private val bodyMemory: BodyMemory = BodyMemory(besideBytes = { callerMemory.heldBytes(HeldKind.IN_PROGRESS) })
+    private val callerMemory: CallerMemory = settings.callerMemory.newMemory(bodyMemory)
+    private val connections = CallerConnections(settings.maximumCallerConnections, bodyMemory, callerMemory) {
+        refusals.onBodyRefused(it)
+    }
     private val loadReport = LoadReport(eventLoopLag, connections, load.shares, metrics)
     private val refusals: RefusalRecorder = RefusalRecorder(context, eventLoopLag, loadReport)
     private val callHandler =
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayedCall.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayedCall.kt
@@ -1,6 +1,7 @@
 package corneltrack.router.relay
 
 import corneltrack.policy.placement.Generation
+import corneltrack.router.callers.BodyContent
 import corneltrack.router.callers.CallerRequest
 import corneltrack.router.callers.CompactHeaders
 import corneltrack.router.callers.ResponseSink
@@ -20,7 +21,7 @@
     val method: HttpMethod,
     val uri: String,
     val headers: CompactHeaders,
-    val body: ByteArray,
+    val body: BodyContent,
 ) {
     constructor(request: CallerRequest) : this(
         request.head.method(),
@@ -32,7 +33,7 @@
     /** Returns a hash of workspace, method, URI and body that is the same for each retry of the request. */
     fun fingerprint(workspace: WorkspaceId?): String {
         val caller = "${workspace?.value} $method $uri"
-        return digest(caller.toByteArray(), body).take(FINGERPRINT_LENGTH)
+        return digest(caller, body).take(FINGERPRINT_LENGTH)
     }
 }
 
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/AttemptTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/AttemptTest.kt
@@ -1,6 +1,7 @@
 package corneltrack.router
 
 import corneltrack.policy.AttemptResult
+import corneltrack.router.callers.BodyContent
 import corneltrack.router.callers.CompactHeaders
 import corneltrack.router.callers.Refusal
 import corneltrack.router.callers.ResponseSink
@@ -112,7 +113,7 @@
             RequestIdentity(id, WorkspaceId("workspace"), pool, id),
             RequestTimes(0, DEADLINE_MS),
             idempotent = true,
-            OutgoingMessage(HttpMethod.GET, "/", CompactHeaders(headers), ByteArray(0)),
+            OutgoingMessage(HttpMethod.GET, "/", CompactHeaders(headers), BodyContent(ByteArray(0))),
             loop,
             recorded,
         )
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/callers/BodyMemoryTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/callers/BodyMemoryTest.kt
@@ -36,6 +36,16 @@
         assertFalse(memory.newPart().tryHold(1), "held more than all of the memory")
     }
 
+    @Test
+    fun `what is held beside bodies and can't give way takes from their room`() {
+        var besideBytes = LONG_BYTES
+        val shared = BodyMemory(3 * LONG_BYTES, shortBytes = 0, totalBytes = 3 * LONG_BYTES) { besideBytes }
+
+        assertEquals(listOf(true, true, false), List(3) { shared.newPart().tryHold(LONG_BYTES) })
+        besideBytes = 0
+        assertTrue(shared.newPart().tryHold(LONG_BYTES), "refused although there is room")
+    }
+
     @Test
     fun `a body larger than the memory is admitted alone`() {
         val part = memory.newPart()
