--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/UnreadableAnswerTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/UnreadableAnswerTest.kt
@@ -2,6 +2,7 @@
 
 import kotlin.test.AfterTest
 import kotlin.test.Test
+import kotlin.test.assertEquals
 import kotlin.test.assertTrue
 
 private const val CALLS = 6
@@ -45,4 +46,34 @@
 
         assertTrue(response.startsWith("HTTP/1.1 200"), "found $response")
     }
+
+    // Guards against answers whose heads the grammar of HTTP/1.1 forbids and that reach a client as answers.
+    @Test
+    fun `a response with a status or a field name that the grammar forbids reaches no caller`() {
+        val odd = listOf(
+            "HTTP/1.1 000 Odd" to "",
+            "HTTP/1.1 999 Odd" to "",
+            "HTTP/1.1 200 OK" to "x odd: 1\r\n",
+            "HTTP/1.1 200 OK" to "x-odd : 1\r\n",
+            "HTTP/1.1 200 OK" to "x\u0001odd: 1\r\n",
+            "HTTP/1.1 200 OK" to "transfer-encoding: gzip\r\n",
+        )
+        listOf("services", "engines").forEach { pool ->
+            fixture.endpoint(pool, pool) { request, socket ->
+                val (statusLine, field) = odd[request.headers.getValue("odd").toInt()]
+                socket.send("$statusLine\r\n${field}request: ${request.id}\r\nsignature: s\r\n\r\n${event(1)}")
+                socket.close()
+            }
+        }
+        fixture.start()
+
+        val responses = odd.indices.flatMap { index ->
+            listOf("/once/x", "/stream/x").map { path ->
+                fixture.call(path, "$index-$path", headers = "odd: $index\r\ntokens: 10\r\n")
+            }
+        }
+
+        assertEquals(emptyList(), responses.filterNot { it.startsWith("HTTP/1.1 50") })
+        assertEquals(emptyList(), responses.filter { "piece-1" in it })
+    }
 }
