Take an end of stream for the end of a response only if no reset follows it

Callers got a part of an answer as a complete one where an endpoint answered a long upload at once, without a length, and closed with bytes unread.

Cause: such a close ends the stream and then resets the connection. Linux reports the end to every later read and the reset to the next write only, and where the buffers hold the whole upload there is none.

The client for the store and for peers gets the same detector: there a failed write could end a response.

A check of UncleanCloseDetectorTest called a close orderly that left the request unread, which is a reset; it reads the request now and expects the same.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/EndpointConnections.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/EndpointConnections.kt
@@ -1,8 +1,10 @@
 package corneltrack.router
 
 import corneltrack.wire.ByteCountingHandler
+import corneltrack.wire.ClientSocketChannel
 import corneltrack.wire.HostAndPort
 import corneltrack.wire.ResponseDecoder
+import corneltrack.wire.UncleanCloseDetector
 import corneltrack.wire.beginIdle
 import corneltrack.wire.endIdle
 import corneltrack.world.Endpoint
@@ -14,7 +16,6 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoop
 import io.netty.channel.socket.SocketChannel
-import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.util.AttributeKey
 import java.util.concurrent.ConcurrentHashMap
@@ -84,7 +85,7 @@
         val address = HostAndPort.parse(endpoint.address) ?: HostAndPort("0.0.0.0", 0)
         return Bootstrap()
             .group(loop)
-            .channel(NioSocketChannel::class.java)
+            .channel(ClientSocketChannel::class.java)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, connectTimeoutMs)
             .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/UncleanCloseDetectorTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/UncleanCloseDetectorTest.kt
@@ -67,6 +67,32 @@
         assertEquals("failed", nextEvent())
     }
 
+    // Guards against an end of stream that is taken for the end of the response while its request is being sent.
+    @Test
+    fun `a response without a length whose connection is closed with unread bytes fails before it ends`() {
+        server.receiveBufferSize = RECEIVE_BUFFER_BYTES
+        val accepted = send(LONG_BODY_BYTES)
+
+        respond(accepted)
+        accepted.shutdownOutput()
+        repeat(2) { group.next().submit { }.sync() }
+        accepted.close()
+
+        assertEquals("failed", nextEvent())
+    }
+
+    @Test
+    fun `a response without a length that ends in order before its request was read is complete`() {
+        server.receiveBufferSize = RECEIVE_BUFFER_BYTES
+        val accepted = send(LONG_BODY_BYTES)
+
+        respond(accepted)
+        accepted.shutdownOutput()
+        accepted.getInputStream().readNBytes(LONG_BODY_BYTES)
+
+        assertEquals("ended", nextEvent())
+    }
+
     // Guards against an end that the codec makes up when a read finds the connection reset.
     @Test
     fun `a response without a length that is reset after the request was sent fails before it ends`() {
@@ -84,6 +110,7 @@
         val accepted = send(bodyBytes = 0)
 
         respond(accepted)
+        accepted.getInputStream().run { readNBytes(available()) }
         accepted.close()
 
         assertEquals("ended", nextEvent())
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/BrokenOffResponseTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/BrokenOffResponseTest.kt
@@ -4,12 +4,16 @@
 import java.util.concurrent.CountDownLatch
 import kotlin.test.AfterTest
 import kotlin.test.Test
+import kotlin.test.assertEquals
 import kotlin.test.assertFalse
 import kotlin.test.assertTrue
 
 /** More than the buffers of all sockets on the way hold. */
 private const val LONG_BODY_BYTES = 16 * 1024 * 1024
 
+/** What the buffers of the sockets hold, so that the router has written it whether or not its endpoint reads it. */
+private const val UNREAD_BODY_BYTES = 100_000
+
 /** More than the router buffers of a response before it passes it on. */
 private const val LONG_ANSWER_BYTES = 1_100_000
 
@@ -38,6 +42,20 @@
         assertFalse(call("/stream/x").endsWith(LAST_CHUNK), "the stream ended as if it were complete")
     }
 
+    // Guards against a part of a response that looks complete where the endpoint closes before it has read the request.
+    @Test
+    fun `a part of a response whose endpoint closes with unread bytes does not look complete`() {
+        fixture.endpoint("a", "services", early = true) { request, socket -> closeUnread(request, socket, "part") }
+        fixture.endpoint("b", early = true) { request, socket -> closeUnread(request, socket, event(1)) }
+        fixture.start()
+
+        val plain = listOf(UNREAD_BODY_BYTES, LONG_BODY_BYTES).map { call("/once/x", it) }
+        val streams = listOf(UNREAD_BODY_BYTES, LONG_BODY_BYTES).map { call("/stream/x", it) }
+
+        assertEquals(emptyList(), plain.filterNot { it.startsWith("HTTP/1.1 502") })
+        assertEquals(emptyList(), streams.filter { it.endsWith(LAST_CHUNK) })
+    }
+
     @Test
     fun `a response without a length that ends with its connection is complete`() {
         fixture.endpoint("a", "services") { request, socket ->
@@ -72,17 +90,26 @@
         socket.reset()
     }
 
+    /** Sends the start of a response and closes the connection, which ends its stream and then resets it. */
+    private fun closeUnread(request: ReceivedRequest, socket: Socket, start: String) {
+        socket.send(headWithoutLength(request) + start)
+        socket.close()
+    }
+
     private fun headWithoutLength(request: ReceivedRequest) =
         "HTTP/1.1 200 OK\r\nrequest: ${request.id}\r\nsignature: s\r\nconnection: close\r\n\r\n"
 
-    /** Returns the response to a call of [path] with a long body. */
+    /** Returns the response to the first call of [path], with a long body. */
     private fun call(path: String): String {
         fixture.start()
-        return fixture.connect().use { socket ->
-            socket.send(request(path, headers = "tokens: 10\r\n", body = "x".repeat(LONG_BODY_BYTES)))
-            val first = socket.getInputStream().readNBytes(1)
-            firstBytesReceived.countDown()
-            String(first + socket.getInputStream().readAllBytes())
-        }
+        return call(path, LONG_BODY_BYTES)
+    }
+
+    /** Returns the response to a call of [path] with a body of [bodyBytes]. */
+    private fun call(path: String, bodyBytes: Int): String = fixture.connect().use { socket ->
+        socket.send(request(path, headers = "tokens: 10\r\n", body = "x".repeat(bodyBytes)))
+        val first = socket.getInputStream().readNBytes(1)
+        firstBytesReceived.countDown()
+        String(first + socket.getInputStream().readAllBytes())
     }
 }
--- a/corneltrack-wire/src/main/kotlin/corneltrack/wire/ControlClient.kt
+++ b/corneltrack-wire/src/main/kotlin/corneltrack/wire/ControlClient.kt
@@ -13,7 +13,6 @@
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.socket.SocketChannel
-import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.FullHttpResponse
 import io.netty.handler.codec.http.HttpContentDecompressor
@@ -99,13 +98,15 @@
     private fun connect(call: Call) {
         val connecting = Bootstrap()
             .group(group)
-            .channel(NioSocketChannel::class.java)
+            .channel(ClientSocketChannel::class.java)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, minOf(CONNECT_TIMEOUT_MS, call.timeoutMs.toInt()))
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .handler(object : ChannelInitializer<SocketChannel>() {
                 override fun initChannel(channel: SocketChannel) {
                     channel.pipeline().addLast(
                         ByteCountingHandler { sent, received -> traffic(call.address, sent, received) },
+                        UncleanCloseDetector(),
                         HttpRequestEncoder(),
                         ResponseDecoder(),
                         HttpContentDecompressor(MAXIMUM_RESPONSE_BYTES),
