Keep no connection whose request has not been written as a whole

A caller waited for the whole timeout of its route where an endpoint had answered the request before with a length and without reading it: the connection went to the idle ones with most of that request still to be written, and the next one waited behind it.

BrokenOffResponseTest, a connection whose request was not read as a whole carries no other, fails on (no answer within 10 s) and passes.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/EndpointConnections.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/EndpointConnections.kt
@@ -5,6 +5,7 @@
 import corneltrack.wire.HostAndPort
 import corneltrack.wire.ResponseDecoder
 import corneltrack.wire.UncleanCloseDetector
+import corneltrack.wire.allWritten
 import corneltrack.wire.beginIdle
 import corneltrack.wire.endIdle
 import corneltrack.world.Endpoint
@@ -103,13 +104,16 @@
             .connect(address.toSocketAddress())
     }
 
-    /** Makes [channel] available for reuse, or closes it if there are too many idle connections. */
+    /**
+     * Makes [channel] available for reuse, or closes it if there are too many idle connections, or if its request has
+     * not been written as a whole: the endpoint may read no further.
+     */
     fun release(channel: Channel, endpoint: Endpoint, nowMs: Long) {
         val loop = channel.eventLoop() as EventLoop
         val queue = idle.computeIfAbsent(Key(loop, endpoint.id, endpoint.address)) { ConcurrentLinkedDeque() }
         channel.attr(IDLE_SINCE).set(nowMs)
         channel.config().isAutoRead = true
-        if (queue.size >= MAXIMUM_IDLE_PER_EVENT_LOOP || idleCount >= maximumIdle) {
+        if (queue.size >= MAXIMUM_IDLE_PER_EVENT_LOOP || idleCount >= maximumIdle || !channel.allWritten) {
             channel.close()
             return
         }
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/BrokenOffResponseTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/BrokenOffResponseTest.kt
@@ -56,6 +56,20 @@
         assertEquals(emptyList(), streams.filter { it.endsWith(LAST_CHUNK) })
     }
 
+    // Guards against a request that waits on a connection behind another that its endpoint never reads.
+    @Test
+    fun `a connection whose request was not read as a whole carries no other`() {
+        val endpoint = fixture.endpoint("a", "services", early = true) { request, socket ->
+            socket.send(signedResponse(request, "done"))
+        }
+
+        val first = call("/once/x")
+        val second = fixture.call("/once/y", id = "two")
+
+        listOf(first, second).forEach { assertTrue(it.startsWith("HTTP/1.1 200"), "found $it") }
+        assertTrue(endpoint.connectionCount == 2, "${endpoint.connectionCount} connections")
+    }
+
     @Test
     fun `a response without a length that ends with its connection is complete`() {
         fixture.endpoint("a", "services") { request, socket ->
