Bound what is believed of the caches of engines over all of them

PrefixCapacity bounds the estimates of all engines to an eighth of the heap; those above an equal part forget what they used least recently. Reports for peers keep what a digest holds, and a prompt's segments are kept in arrays.

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/Generation.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/Generation.kt
@@ -50,11 +50,26 @@
 
 /** Returns the segments of a prompt, in order, from the [names] of its parts and their lengths in [tokens]. */
 public fun promptSegments(names: List<Long>, tokens: List<Int>): List<PromptSegment> {
+    val count = minOf(names.size, tokens.size)
+    val parts = LongArray(count) { names[it] }
+    val prefixHashes = LongArray(count)
     var prefixHash = 0L
-    return names.zip(tokens) { name, size ->
-        prefixHash = mixHash(prefixHash, name)
-        PromptSegment(name, prefixHash, size)
+    for (index in 0 until count) {
+        prefixHash = mixHash(prefixHash, parts[index])
+        prefixHashes[index] = prefixHash
     }
+    return SegmentList(parts, prefixHashes, IntArray(count) { tokens[it] })
+}
+
+/** Holds segments in arrays, since a prompt may have a thousand for as long as its stream lasts. */
+private class SegmentList(
+    private val parts: LongArray,
+    private val prefixHashes: LongArray,
+    private val tokens: IntArray,
+) : AbstractList<PromptSegment>() {
+    override val size: Int get() = parts.size
+
+    override fun get(index: Int): PromptSegment = PromptSegment(parts[index], prefixHashes[index], tokens[index])
 }
 
 /** Returns a hash of two numbers, each bit of which depends on all bits of both. */
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/PrefixCacheEstimate.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/PrefixCacheEstimate.kt
@@ -12,22 +12,31 @@
  * Engines do not report the contents of their caches. A segment counts as cached for the retention time after this
  * router last sent it to the engine, or after a first event showed that the engine has processed it, for this router or
  * for a peer that reports so. Not thread-safe.
+ *
+ * @param capacity bounds what the estimates of all engines hold.
  */
-public class PrefixCacheEstimate {
+public class PrefixCacheEstimate(private val capacity: PrefixCapacity = PrefixCapacity(Int.MAX_VALUE)) {
     /** The times, in ms, at which a segment was last sent and last confirmed by a first event. */
     private data class Use(val usedMs: Long, val confirmedMs: Long)
 
     /** The last use of each segment by its prefix hash, least recently used first. */
     private val uses = LinkedHashMap<Long, Use>()
 
+    init {
+        capacity.onEstimateAdded()
+    }
+
     /**
      * Records that [segments] were sent to the engine.
      *
      * @param retentionMs how long the engine is expected to keep an unused segment, in ms.
      */
     public fun onSent(segments: List<PromptSegment>, nowMs: Long, retentionMs: Long) {
-        segments.forEach { record(it.prefixHash, Use(nowMs, uses[it.prefixHash]?.confirmedMs ?: NEVER_MS)) }
-        removeUnused(nowMs, retentionMs)
+        changingSize {
+            segments.forEach { record(it.prefixHash, Use(nowMs, uses[it.prefixHash]?.confirmedMs ?: NEVER_MS)) }
+            removeUnused(nowMs, retentionMs)
+        }
+        removeSurplus()
     }
 
     /**
@@ -36,8 +45,11 @@
      */
     public fun onConfirmed(prefixHashes: List<Long>, nowMs: Long): List<Long> {
         val news = prefixHashes.filter { nowMs - (uses[it]?.confirmedMs ?: NEVER_MS) > REPORT_INTERVAL_MS }
-        prefixHashes.forEach { record(it, Use(nowMs, nowMs)) }
-        removeUnused(nowMs, MAXIMUM_KEPT_MS)
+        changingSize {
+            prefixHashes.forEach { record(it, Use(nowMs, nowMs)) }
+            removeUnused(nowMs, MAXIMUM_KEPT_MS)
+        }
+        removeSurplus()
         return news
     }
 
@@ -50,7 +62,13 @@
         prefixTokens(segments) { it.confirmedMs != NEVER_MS && nowMs - it.usedMs <= retentionMs }
 
     /** Records that the engine turned out to lack the segments with [prefixHashes]. */
-    public fun onMissing(prefixHashes: List<Long>): Unit = prefixHashes.forEach { uses.remove(it) }
+    public fun onMissing(prefixHashes: List<Long>): Unit = changingSize { prefixHashes.forEach { uses.remove(it) } }
+
+    /** Forgets all segments and leaves the capacity to others, since the engine is gone. */
+    public fun close() {
+        changingSize { uses.clear() }
+        capacity.onEstimateRemoved()
+    }
 
     private fun prefixTokens(segments: List<PromptSegment>, counts: (Use) -> Boolean): Int =
         segments.takeWhile { segment -> uses[segment.prefixHash]?.let(counts) ?: false }.sumOf { it.tokens }
@@ -66,6 +84,20 @@
         while (oldest.hasNext() && nowMs - oldest.next().usedMs > keptMs) oldest.remove()
     }
 
+    private fun removeSurplus() {
+        val oldest = uses.values.iterator()
+        while (oldest.hasNext() && capacity.isShort(uses.size)) {
+            oldest.next()
+            changingSize { oldest.remove() }
+        }
+    }
+
+    private inline fun changingSize(change: () -> Unit) {
+        val before = uses.size
+        change()
+        capacity.onGrown(uses.size - before)
+    }
+
     private companion object {
         /** Long before any point in time, without overflow in a difference. */
         const val NEVER_MS = Long.MIN_VALUE / 2
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/PrefixReports.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/PrefixReports.kt
@@ -18,9 +18,13 @@
     /** Adds the prefixes with [prefixHashes], which the engine has processed by now. */
     public fun add(prefixHashes: List<Long>, nowMs: Long) {
         prefixHashes.forEach { reports.addLast(Report(it, nowMs)) }
-        while (reports.isNotEmpty() && nowMs - reports.first().confirmedMs > MAXIMUM_AGE_MS) reports.removeFirst()
+        while (reports.isNotEmpty() && isOutdated(reports.first(), nowMs)) reports.removeFirst()
     }
 
+    /** Whether no digest will hold [report], the oldest one. */
+    private fun isOutdated(report: Report, nowMs: Long): Boolean =
+        nowMs - report.confirmedMs > MAXIMUM_AGE_MS || reports.size > MAXIMUM_REPORTED
+
     /** Returns the prefixes that were added after [sinceMs], at most the newest [MAXIMUM_REPORTED]. */
     public fun since(sinceMs: Long): List<Long> =
         reports.takeLastWhile { it.confirmedMs > sinceMs }.takeLast(MAXIMUM_REPORTED).map { it.prefixHash }
--- a/corneltrack-policy/src/test/kotlin/corneltrack/policy/placement/PrefixCacheEstimateTest.kt
+++ b/corneltrack-policy/src/test/kotlin/corneltrack/policy/placement/PrefixCacheEstimateTest.kt
@@ -38,4 +38,33 @@
         assertEquals(100, cache.cachedTokens(segments, 1_000, 1_000))
         assertEquals(0, cache.cachedTokens(segments, 1_001, 1_000))
     }
+
+    // Guards against prompts of very many parts, whose entries fill the heap for as long as engines keep them.
+    @Test
+    fun `estimates of all engines together hold no more than their capacity`() {
+        val capacity = PrefixCapacity(1_000)
+        val estimates = List(10) { PrefixCacheEstimate(capacity) }
+
+        (0L until 300L).forEach { prompt ->
+            val parts = List(200) { prompt * 200 + it }
+            estimates[(prompt % 10).toInt()].onSent(promptSegments(parts, parts.map { 1 }), prompt, 60_000)
+        }
+
+        assertEquals(1_000, capacity.heldSegments)
+        estimates.forEach { it.close() }
+        assertEquals(0, capacity.heldSegments)
+    }
+
+    @Test
+    fun `an engine with few segments forgets none to make room for others`() {
+        val capacity = PrefixCapacity(100)
+        val small = PrefixCacheEstimate(capacity)
+        val large = PrefixCacheEstimate(capacity)
+        small.onSent(segments, 0, 60_000)
+
+        large.onConfirmed((1L..500L).toList(), 0)
+
+        assertEquals(600, small.cachedTokens(segments, 0, 60_000))
+        assertEquals(100, capacity.heldSegments)
+    }
 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointState.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointState.kt
@@ -14,12 +14,15 @@
 import corneltrack.policy.placement.PoolReports
 import corneltrack.policy.placement.PoolSpeeds
 import corneltrack.policy.placement.PrefixCacheEstimate
+import corneltrack.policy.placement.PrefixCapacity
 import corneltrack.policy.placement.PrefixReports
 import corneltrack.policy.placement.ServiceLoad
 import corneltrack.policy.placement.TransferSuccess
 import corneltrack.world.EndpointId
 import corneltrack.world.PoolId
 
+/** The part of the heap for what is believed of the caches of engines. */
+private const val PREFIXES_HEAP_FRACTION = 0.125
 private const val COLD_START_WINDOW_MS = 1_100L
 
 /** Holds what this router has learnt of the endpoints of a pool together. */
@@ -37,15 +40,17 @@
  * @property startedAtMs when the incarnation started, as its record states.
  * @property limit the limit that the endpoint states, which outlasts a restart until the endpoint has answered again.
  * @property pool what is known of the endpoint's pool.
+ * @param prefixCapacity bounds the prefix cache estimates of all endpoints.
  */
 internal class EndpointState(
     val startedAtMs: Long,
     val limit: EndpointLimitState = EndpointLimitState(),
     val pool: PoolLearning = PoolLearning(),
+    prefixCapacity: PrefixCapacity = PrefixCapacity(Int.MAX_VALUE),
 ) {
     val health = EndpointHealth()
     val engine = EngineLoad(pool.speeds)
-    val prefixes = PrefixCacheEstimate()
+    val prefixes = PrefixCacheEstimate(prefixCapacity)
     val prefixReports = PrefixReports()
     val service = ServiceLoad(pool.reports)
 
@@ -71,6 +76,7 @@
     fun leavePool() {
         engine.leavePool()
         service.paced.leavePool()
+        prefixes.close()
     }
 
     /** Records that the engine has processed the prompt of [generation], as its first event shows. */
@@ -101,6 +107,10 @@
     private val states = HashMap<EndpointId, EndpointState>()
     private val pools = HashMap<PoolId, PoolLearning>()
 
+    /** What the prefix cache estimates of all endpoints hold together. */
+    val prefixCapacity =
+        PrefixCapacity.ofBytes((Runtime.getRuntime().maxMemory() * PREFIXES_HEAP_FRACTION).toLong())
+
     /** Returns the state of [known]; a new one if the endpoint is unknown or has restarted. */
     fun of(known: KnownEndpoint): EndpointState {
         val id = known.entry.endpoint.id
@@ -109,7 +119,7 @@
         current?.leavePool()
         val limit = current?.limit ?: EndpointLimitState()
         val pool = pools.getOrPut(known.entry.endpoint.pool) { PoolLearning() }
-        return EndpointState(known.entry.startedAtMs, limit, pool).also { states[id] = it }
+        return EndpointState(known.entry.startedAtMs, limit, pool, prefixCapacity).also { states[id] = it }
     }
 
     /** Returns whether [known] has said that it leaves. */
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayMetrics.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayMetrics.kt
@@ -55,6 +55,8 @@
         .help("Bytes held for the bodies of requests.").register(registry)
     private val heldResponses = Gauge.builder().name("corneltrack_relay_held_response_bytes")
         .help("Bytes of responses that are not passed on yet.").register(registry)
+    private val prefixSegments = Gauge.builder().name("corneltrack_relay_prefix_segments")
+        .help("Prompt segments that are believed to be cached by engines.").register(registry)
     private val warmUpRequests = Gauge.builder().name("corneltrack_relay_warm_up_requests")
         .help("Made-up requests that were run to have the code compiled, once all have.").register(registry)
 
@@ -76,6 +78,9 @@
         heldResponses.set(responses.toDouble())
     }
 
+    /** Records how many prompt segments are believed to be cached by engines. */
+    fun onPrefixSegments(segments: Int) = prefixSegments.set(segments.toDouble())
+
     /** Records the load of the router. */
     fun onLoad(load: RouterLoad) {
         lag.set(load.lagMs / MS_PER_SECOND)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
@@ -236,6 +236,7 @@
         try {
             routingState.expire()
             metrics.onHeldBytes(connections.bodyMemory.heldBytes, context.responseMemory.heldBytes)
+            metrics.onPrefixSegments(load.states.prefixCapacity.heldSegments)
             load.states.updatePaceStated()
             paceMetrics.update(load.states, monotonicClock())
             metrics.callers.onHeldBytes(connections.memory)
