Account for answers that wait for slow readers as the heap that they take

The bound is an eighth of the heap where that is less, and a buffered body gives up its surplus before it is passed on.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerMemory.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerMemory.kt
@@ -16,6 +16,9 @@
 /** The part of the direct memory for received bytes that wait and responses that are not read. */
 private const val WAITING_DIRECT_FRACTION = 0.33
 
+/** The part of the heap for the same, since responses that are not read lie on either. */
+private const val WAITING_HEAP_FRACTION = 0.125
+
 /** The part of a bound from which on responses are no longer read ahead for callers that read slowly. */
 private const val SHORT_FRACTION = 0.5
 
@@ -39,7 +42,7 @@
     /** What is kept of the heads of requests that have been passed on, on the heap. Never gives way. */
     IN_PROGRESS,
 
-    /** Bytes received and not decoded, and responses that the caller has not read, in direct memory. */
+    /** Bytes received and not decoded, in direct memory, and responses that the caller has not read, also on the heap. */
     WAITING,
 }
 
@@ -53,7 +56,10 @@
 internal data class CallerMemoryBounds(
     val headBytes: Long = (Runtime.getRuntime().maxMemory() * HEADS_HEAP_FRACTION).toLong(),
     val totalHeapBytes: Long = (Runtime.getRuntime().maxMemory() * TOTAL_HEAP_FRACTION).toLong(),
-    val waitingBytes: Long = (PlatformDependent.maxDirectMemory() * WAITING_DIRECT_FRACTION).toLong(),
+    val waitingBytes: Long = minOf(
+        PlatformDependent.maxDirectMemory() * WAITING_DIRECT_FRACTION,
+        Runtime.getRuntime().maxMemory() * WAITING_HEAP_FRACTION,
+    ).toLong(),
 )
 
 /** A connection that holds memory and can give it back. */
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/ResponseDelivery.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/ResponseDelivery.kt
@@ -9,6 +9,9 @@
 /** Up to this size, an event that has not ended is held however much other responses hold. */
 private const val SMALL_EVENT_BYTES = 8 * 1024
 
+/** What a buffer that is passed on may take beyond its content; less costs less than a copy. */
+private const val MAXIMUM_SURPLUS_BYTES = 16 * 1024
+
 /** Forwards the body of one endpoint's response to the caller. */
 internal interface ResponseDelivery : AutoCloseable {
     /** Whether the body could end here. */
@@ -109,9 +112,13 @@
         held.release()
     }
 
-    /** Passes the buffer on, which the sink releases, so that nothing of the body stays here. */
+    /**
+     * Passes the buffer on, which the sink releases, so that nothing of the body stays here. A long one takes no more
+     * than it holds, since it may wait for a slow caller and is accounted by its length there.
+     */
     private fun sendBody() {
         call.deliverHead(head)
+        if (body.writableBytes() > MAXIMUM_SURPLUS_BYTES) body.capacity(body.writerIndex())
         if (body.isReadable) call.sink.content(body)
         body = Unpooled.buffer(0)
         held.release()
