--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/PrefixCacheEstimate.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/PrefixCacheEstimate.kt
@@ -34,9 +34,8 @@
     public fun onSent(segments: List<PromptSegment>, nowMs: Long, retentionMs: Long) {
         changingSize {
             segments.forEach { record(it.prefixHash, Use(nowMs, uses[it.prefixHash]?.confirmedMs ?: NEVER_MS)) }
-            removeUnused(nowMs, retentionMs)
         }
-        removeSurplus()
+        removeUnused(nowMs, retentionMs)
     }
 
     /**
@@ -45,11 +44,8 @@
      */
     public fun onConfirmed(prefixHashes: List<Long>, nowMs: Long): List<Long> {
         val news = prefixHashes.filter { nowMs - (uses[it]?.confirmedMs ?: NEVER_MS) > REPORT_INTERVAL_MS }
-        changingSize {
-            prefixHashes.forEach { record(it, Use(nowMs, nowMs)) }
-            removeUnused(nowMs, MAXIMUM_KEPT_MS)
-        }
-        removeSurplus()
+        changingSize { prefixHashes.forEach { record(it, Use(nowMs, nowMs)) } }
+        removeUnused(nowMs, MAXIMUM_KEPT_MS)
         return news
     }
 
@@ -79,16 +75,14 @@
         uses[prefixHash] = use
     }
 
+    /** Forgets what is too old, and what was used least recently while there is no room for it. */
     private fun removeUnused(nowMs: Long, keptMs: Long) {
         val oldest = uses.values.iterator()
-        while (oldest.hasNext() && nowMs - oldest.next().usedMs > keptMs) oldest.remove()
-    }
-
-    private fun removeSurplus() {
-        val oldest = uses.values.iterator()
-        while (oldest.hasNext() && capacity.isShort(uses.size)) {
-            oldest.next()
-            changingSize { oldest.remove() }
+        while (oldest.hasNext()) {
+            val kept = nowMs - oldest.next().usedMs <= keptMs
+            if (kept && !capacity.isShort(uses.size)) break
+            oldest.remove()
+            capacity.onGrown(-1)
         }
     }
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerMemory.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerMemory.kt
@@ -42,7 +42,7 @@
     /** What is kept of the heads of requests that have been passed on, on the heap. Never gives way. */
     IN_PROGRESS,
 
-    /** Bytes received and not decoded, in direct memory, and responses that the caller has not read, also on the heap. */
+    /** Bytes received and not decoded, in direct memory, and responses that are not read, there or on the heap. */
     WAITING,
 }
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayMetrics.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayMetrics.kt
@@ -72,15 +72,16 @@
     /** Records that [requests] made-up requests have been run. */
     fun onWarmedUp(requests: Int) = warmUpRequests.set(requests.toDouble())
 
-    /** Records what the bodies of requests hold, and what responses hold that is not passed on yet, in bytes. */
-    fun onHeldBytes(bodies: Long, responses: Long) {
+    /**
+     * Records what the bodies of requests hold, and what responses hold that is not passed on yet, in bytes, and how
+     * many prompt [segments] are believed to be cached by engines.
+     */
+    fun onHeld(bodies: Long, responses: Long, segments: Int) {
+        prefixSegments.set(segments.toDouble())
         heldBodies.set(bodies.toDouble())
         heldResponses.set(responses.toDouble())
     }
 
-    /** Records how many prompt segments are believed to be cached by engines. */
-    fun onPrefixSegments(segments: Int) = prefixSegments.set(segments.toDouble())
-
     /** Records the load of the router. */
     fun onLoad(load: RouterLoad) {
         lag.set(load.lagMs / MS_PER_SECOND)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
@@ -235,8 +235,8 @@
     private fun runMaintenance() {
         try {
             routingState.expire()
-            metrics.onHeldBytes(connections.bodyMemory.heldBytes, context.responseMemory.heldBytes)
-            metrics.onPrefixSegments(load.states.prefixCapacity.heldSegments)
+            val responseBytes = context.responseMemory.heldBytes
+            metrics.onHeld(bodyMemory.heldBytes, responseBytes, load.states.prefixCapacity.heldSegments)
             load.states.updatePaceStated()
             paceMetrics.update(load.states, monotonicClock())
             metrics.callers.onHeldBytes(connections.memory)
