--- a/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerMemory.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerMemory.kt
@@ -16,9 +16,6 @@
 /** The part of the direct memory for received bytes that wait and responses that are not read. */
 private const val WAITING_DIRECT_FRACTION = 0.33
 
-/** The part of the heap for the same, since responses that are not read lie on either. */
-private const val WAITING_HEAP_FRACTION = 0.125
-
 /** The part of a bound from which on responses are no longer read ahead for callers that read slowly. */
 private const val SHORT_FRACTION = 0.5
 
@@ -56,10 +53,7 @@
 internal data class CallerMemoryBounds(
     val headBytes: Long = (Runtime.getRuntime().maxMemory() * HEADS_HEAP_FRACTION).toLong(),
     val totalHeapBytes: Long = (Runtime.getRuntime().maxMemory() * TOTAL_HEAP_FRACTION).toLong(),
-    val waitingBytes: Long = minOf(
-        PlatformDependent.maxDirectMemory() * WAITING_DIRECT_FRACTION,
-        Runtime.getRuntime().maxMemory() * WAITING_HEAP_FRACTION,
-    ).toLong(),
+    val waitingBytes: Long = (PlatformDependent.maxDirectMemory() * WAITING_DIRECT_FRACTION).toLong(),
 )
 
 /** A connection that holds memory and can give it back. */
