Count dropped log lines with the counter that the documented names are read from

DocumentedNamesTest failed on: it reads the names of metrics from their builders, and the count of dropped lines used another one than the rest.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayMetrics.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayMetrics.kt
@@ -5,7 +5,6 @@
 import corneltrack.router.callers.Refusal
 import corneltrack.router.logging.droppedEntries
 import io.prometheus.metrics.core.metrics.Counter
-import io.prometheus.metrics.core.metrics.CounterWithCallback
 import io.prometheus.metrics.core.metrics.Gauge
 import io.prometheus.metrics.core.metrics.Histogram
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
@@ -57,15 +56,11 @@
         .help("Bytes of responses that are not passed on yet.").register(registry)
     private val prefixSegments = Gauge.builder().name("corneltrack_relay_prefix_segments")
         .help("Prompt segments that are believed to be cached by engines.").register(registry)
+    private val droppedLogLines = Counter.builder().name("corneltrack_log_lines_dropped")
+        .help("Lines of the log that were dropped since nobody read it.").register(registry)
     private val warmUpRequests = Gauge.builder().name("corneltrack_relay_warm_up_requests")
         .help("Made-up requests that were run to have the code compiled, once all have.").register(registry)
 
-    init {
-        CounterWithCallback.builder().name("corneltrack_log_lines_dropped")
-            .help("Lines of the log that were dropped since nobody read it.")
-            .callback { it.call(droppedEntries.toDouble()) }.register(registry)
-    }
-
     /** What callers hold beside bodies. */
     val callers: CallerMemoryMetrics = CallerMemoryMetrics(registry)
 
@@ -131,6 +126,7 @@
     fun text(operatorAgeMs: Long?, endpointAgeMs: Long?): String {
         operatorAgeMs?.let { cachedStateAge.labelValues("operator").set(it / MS_PER_SECOND) }
         endpointAgeMs?.let { cachedStateAge.labelValues("endpoints").set(it / MS_PER_SECOND) }
+        droppedLogLines.inc(droppedEntries - droppedLogLines.get())
         val bytes = ByteArrayOutputStream()
         PrometheusTextFormatWriter(false).write(bytes, registry.scrape())
         return bytes.toString(Charsets.UTF_8)
