Resume a broken stream only at the version that made its first event

Cause: the router resumed a stream at any endpoint of the pool. Events of two versions do not fit together, and endpoints do not check where a stream began. Class of fault: state of an attempt that the next attempt has to keep and did not.

StreamVersionTest failed before the change, both tests (an event of another version followed; a second attempt reached another version), and passes after it, as do EventRelayTest and StalledStreamTest.

Why this works: the version of the endpoint that made the first event is kept with the request, and only endpoints of that version are eligible for its further attempts, also those that a roll-out leaves open. Where there is none the stream is broken off, which its caller sees.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointAttempt.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointAttempt.kt
@@ -195,6 +195,7 @@
         }
 
         private fun onEvent() {
+            if (call.streamVersion == null) call.streamVersion = target.version.name
             timing.onEvent(context.nowMs())
             evidence.onEvent(context.nowMs())
             if (answering) context.partSuspects.onAnswered(call)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayedCall.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayedCall.kt
@@ -99,6 +99,9 @@
     /** Whether the head of a response was sent to the caller, so that no other response can replace it. */
     var responseStarted: Boolean = false
 
+    /** The version of the endpoint that made the first event, which all further events must come from; or null. */
+    var streamVersion: String? = null
+
     /** The id of the last event sent to the caller, or null. */
     var lastEventId: String? = null
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TargetChooser.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TargetChooser.kt
@@ -51,7 +51,7 @@
 
     /** Chooses an endpoint for an attempt of [call] and adds the request to the endpoint's load. */
     fun choose(call: RelayedCall, nowMs: Long): TargetDecision {
-        val allowed = versions.forAttempt(call, nowMs)
+        val allowed = versions.forAttempt(call, nowMs).continuing(call.streamVersion)
         val trial = allowed.trial?.let { chooseTrial(call, it, nowMs) }
         if (trial is TargetDecision.Chosen) return trial
         val regular = endpoints.forCall(call, nowMs, allowed.regular)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/VersionControl.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/VersionControl.kt
@@ -27,7 +27,14 @@
     val regular: VersionFilter,
     val trial: TrialChance? = null,
     val spare: VersionFilter? = null,
-)
+) {
+    /** Returns those of [streamVersion], as events of different versions do not fit together; all if it is null. */
+    fun continuing(streamVersion: String?): AttemptVersions {
+        if (streamVersion == null) return this
+        val made = { known: KnownEndpoint -> known.entry.version == streamVersion }
+        return AttemptVersions({ made(it) && regular(it) }, spare = spare?.let { filter -> { made(it) && filter(it) } })
+    }
+}
 
 /**
  * The fixed speeds that an endpoint's responses are compared with.
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/EventRelayTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/EventRelayTest.kt
@@ -152,17 +152,4 @@
             splitter.close()
         }
     }
-
-    /** Decodes the body of a chunked response as far as it was received. */
-    private fun decodeChunks(response: String): String {
-        var rest = response.substringAfter("\r\n\r\n")
-        val body = StringBuilder()
-        while (rest.contains("\r\n")) {
-            val size = rest.substringBefore("\r\n").toInt(radix = 16)
-            rest = rest.substringAfter("\r\n")
-            body.append(rest.take(size))
-            rest = rest.drop(size + 2)
-        }
-        return body.toString()
-    }
 }
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayFixture.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayFixture.kt
@@ -100,11 +100,12 @@
         pool: String = "engines",
         dataCentre: String = "here",
         early: Boolean = false,
+        version: String = "",
         script: (ReceivedRequest, Socket) -> Unit,
     ): ScriptedEndpoint {
         val added = ScriptedEndpoint(early, script)
         scriptedEndpoints += added
-        listEndpoint(name, added.address, pool, dataCentre)
+        listEndpoint(name, added.address, pool, dataCentre, version = version)
         return added
     }
 
@@ -113,14 +114,7 @@
         name: String,
         version: String,
         script: (ReceivedRequest, Socket) -> Unit,
-    ): ScriptedEndpoint {
-        val added = ScriptedEndpoint(script = script)
-        scriptedEndpoints += added
-        val here = DataCentreId("here")
-        val endpoint = Endpoint(EndpointId(name), PoolId("services"), here, added.address, MemberState.LIVE)
-        list(endpoint, startedAtMs = 1, version)
-        return added
-    }
+    ): ScriptedEndpoint = endpoint(name, "services", version = version, script = script)
 
     /** Writes the record of an endpoint at [address] to the store. */
     fun listEndpoint(
@@ -129,9 +123,10 @@
         pool: String = "engines",
         dataCentre: String = "here",
         state: MemberState = MemberState.LIVE,
+        version: String = "",
     ) {
         val endpoint = Endpoint(EndpointId(name), PoolId(pool), DataCentreId(dataCentre), address, state)
-        list(endpoint, startedAtMs = 1)
+        list(endpoint, startedAtMs = 1, version)
     }
 
     /** Writes the record of another incarnation of the engine [name] to the store. */
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/ScriptedEndpoint.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/ScriptedEndpoint.kt
@@ -115,3 +115,16 @@
         line.append(byte.toChar())
     }
 }
+
+/** Decodes the body of a chunked response as far as it was received. */
+internal fun decodeChunks(response: String): String {
+    var rest = response.substringAfter("\r\n\r\n")
+    val body = StringBuilder()
+    while (rest.contains("\r\n")) {
+        val size = rest.substringBefore("\r\n").toInt(radix = 16)
+        rest = rest.substringAfter("\r\n")
+        body.append(rest.take(size))
+        rest = rest.drop(size + 2)
+    }
+    return body.toString()
+}
--- /dev/null
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/StreamVersionTest.kt
@@ -0,0 +1,65 @@
+package corneltrack.router.relay
+
+import java.net.Socket
+import kotlin.test.AfterTest
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+
+private const val GENERATION = "tokens: 10\r\n"
+
+/** Checks that no stream holds events of two versions of an endpoint's software. */
+class StreamVersionTest {
+    private val fixture = RelayFixture(timeoutMs = 60_000)
+
+    @AfterTest
+    fun stop() = fixture.close()
+
+    @Test
+    fun `a broken stream does not go on at another version than the one that began it`() {
+        val endpoints = listOf("a" to "old", "b" to "new").map { (name, version) ->
+            fixture.endpoint(name, version = version, script = ::breakOff)
+        }
+        fixture.start()
+        fillRetryBudget()
+
+        val response = fixture.call("/resumed/x", headers = GENERATION)
+
+        assertEquals(event(1) + event(2), decodeChunks(response))
+        assertFalse(response.endsWith(LAST_CHUNK), "found $response")
+        assertEquals(1, endpoints.sumOf { it.resumable.size })
+    }
+
+    @Test
+    fun `a broken stream goes on at the version that began it though more endpoints have another`() {
+        val old = listOf("a", "b").map { fixture.endpoint(it, version = "old", script = ::breakOff) }
+        val new = listOf("c", "d", "e").map {
+            fixture.endpoint(it, dataCentre = "there", version = "new", script = ::breakOff)
+        }
+        fixture.start()
+        fillRetryBudget()
+
+        val response = fixture.call("/resumed/x", headers = GENERATION)
+
+        assertEquals((1..4).joinToString("") { event(it) }, decodeChunks(response))
+        assertTrue(response.endsWith(LAST_CHUNK), "found $response")
+        assertEquals(setOf(null, "2"), old.flatMap { it.resumable }.map { it.headers["last-event"] }.toSet())
+        assertTrue(new.all { it.resumable.isEmpty() })
+    }
+
+    private fun fillRetryBudget() = repeat(10) { fixture.call("/stream/x", headers = GENERATION) }
+
+    private val ScriptedEndpoint.resumable get() = requests.filter { it.line.startsWith("POST /resumed/") }
+
+    /** Breaks a new stream off after its second event, and sends the rest of one that goes on. */
+    private fun breakOff(request: ReceivedRequest, socket: Socket) {
+        val after = request.headers["last-event"]?.toInt() ?: 0
+        if (after == 0) {
+            socket.send(signedStreamHead(request) + chunk(event(1) + event(2)))
+            socket.close()
+        } else {
+            socket.send(signedStreamHead(request) + chunk(event(after + 1) + event(after + 2)) + LAST_CHUNK)
+        }
+    }
+}
