Let a stream that its caller takes up go on only at the version that began it

Cause: a request with Last-Event-Id was placed like a new one, and no router knew which version had begun a stream.

Routers remember the version of each stream that they pass on, and share it through the store while a pool has several versions; a stream that nobody knows is refused then, before anything runs.

Evidence: with CallRunner as before (take-ups placed like new requests), StreamVersionTest failed in both of its new tests (the rest of the stream came from another version; an unknown stream was answered 200). StreamControlTest has the restart of all routers, the version that has just left, and the store away.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallHandler.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallHandler.kt
@@ -133,6 +133,7 @@
             message = CallerMessage(request),
             sink = sink,
             priority = admission.workspace?.priority ?: admission.route.priority,
+            takesUp = metadata.takesUp.takeIf { admission.route.resumable },
         )
     }
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallRunner.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallRunner.kt
@@ -4,11 +4,18 @@
 import corneltrack.policy.limits.RelayStep
 import corneltrack.policy.limits.RelayedRequest
 import corneltrack.policy.limits.decideRelayStep
+import corneltrack.router.relay.streams.StreamContinuation
+import corneltrack.router.relay.streams.onDelivered
+import corneltrack.router.relay.streams.onTakeUp
 import io.netty.handler.codec.http.HttpResponseStatus
 import java.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
 
 private const val DEFAULT_RETRY_AFTER_MS = 300L
+private const val UNKNOWN_STREAM = "unknown stream"
+
+/** After this time, routers have shared the streams that they have just begun, in ms. */
+private const val UNKNOWN_STREAM_RETRY_MS = 500L
 
 /** Runs the attempts of one admitted request until the call is completed. Confined to the event loop. */
 internal class CallRunner(
@@ -26,7 +33,12 @@
     fun start() {
         val remainingMs = call.times.responseDeadlineMs - context.nowMs()
         timer = context.loop.schedule(::onTimeout, maxOf(0, remainingMs), TimeUnit.MILLISECONDS)
-        startNextAttempt()
+        if (call.takesUp == null) return startNextAttempt()
+        context.streams.onTakeUp(call) { continuation ->
+            call.streamVersion = (continuation as? StreamContinuation.At)?.version
+            val unknown = continuation == StreamContinuation.Unknown
+            if (unknown) completion.refuseNotRun(UNKNOWN_STREAM, UNKNOWN_STREAM_RETRY_MS) else startNextAttempt()
+        }
     }
 
     /** Cancels the call because the caller disconnected; the endpoint sees its connection closed. */
@@ -45,6 +57,7 @@
         closeAttempt()
         attempt.deliver()
         context.partSuspects.onAnswered(call)
+        context.streams.onDelivered(call)
         completion.onDelivered(attempt.status)
     }
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointAttempt.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointAttempt.kt
@@ -3,6 +3,7 @@
 import corneltrack.policy.limits.EndpointSignal
 import corneltrack.policy.limits.RelayAttemptResult
 import corneltrack.policy.limits.stallLimitMs
+import corneltrack.router.relay.streams.onFirstEvent
 import corneltrack.world.routing.ResponseMode
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.DefaultFullHttpRequest
@@ -195,7 +196,7 @@
         }
 
         private fun onEvent() {
-            if (call.streamVersion == null) call.streamVersion = target.version.name
+            if (timing.events == 0) context.onFirstEvent(call, target)
             timing.onEvent(context.nowMs())
             evidence.onEvent(context.nowMs())
             if (answering) context.partSuspects.onAnswered(call)
@@ -253,6 +254,11 @@
     }
 }
 
+private fun RelayContext.onFirstEvent(call: RelayedCall, target: Target) {
+    call.streamVersion = target.version.name
+    streams.onFirstEvent(call, target.version.name, nowMs())
+}
+
 /** Returns the caller's message with the headers that the endpoint of [target] expects. */
 private fun RelayedCall.messageTo(target: Target, context: RelayContext): DefaultFullHttpRequest {
     val content = message.body.toByteBuf()
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/HeaderMapping.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/HeaderMapping.kt
@@ -7,6 +7,13 @@
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponse
 
+/**
+ * States that a caller takes up a stream of which it has some events.
+ *
+ * @property stream the id of the caller's request that brought the first event, or null if it names none or several.
+ */
+public data class TakenUpStream(val stream: String?)
+
 /**
  * Holds the metadata of a caller's request.
  *
@@ -17,6 +24,7 @@
  * @property apiKey the API key, or null.
  * @property timeLeftMs how long the caller waits for the complete response, in ms, or null if not stated.
  * @property cost the tokens that a model engine would process, or null for other requests.
+ * @property takesUp the stream that the request goes on with, or null if it begins anew.
  * @property readGeneration reads the work for a model engine; returns null for other requests. What is refused does
  *   without.
  */
@@ -27,6 +35,7 @@
     val apiKey: String?,
     val timeLeftMs: Long?,
     val cost: Long?,
+    val takesUp: TakenUpStream? = null,
     val readGeneration: () -> Generation?,
 )
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayContext.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayContext.kt
@@ -11,6 +11,7 @@
 import corneltrack.router.EndpointConnections
 import corneltrack.router.relay.rollout.AllVersions
 import corneltrack.router.relay.rollout.VersionControl
+import corneltrack.router.relay.streams.StreamControl
 import corneltrack.world.PoolId
 import io.netty.channel.EventLoop
 import io.netty.handler.codec.http.HttpResponseStatus
@@ -35,6 +36,7 @@
     private val bounds: RelayBounds,
     private val eventLoopLag: EventLoopLag,
     private val monotonicMs: () -> Long,
+    val streams: StreamControl,
     val versions: VersionControl = AllVersions,
 ) {
     /** What responses hold that is not passed on yet. */
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayEventLog.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayEventLog.kt
@@ -70,6 +70,7 @@
         field("copied_from", target.prefixSource?.endpoint?.id)
         field("shared_tokens", call.generation?.sharedTokens)
         field("attempt", call.attempts + 1)
+        field("stream_version", call.streamVersion)
         field("waited_ms", nowMs - call.times.arrivedMs)
         shareFields(call)
         field("table", tableVersion())
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
@@ -20,6 +20,9 @@
 import corneltrack.router.relay.rollout.RolloutMetrics
 import corneltrack.router.relay.rollout.Rollouts
 import corneltrack.router.relay.rollout.VersionControl
+import corneltrack.router.relay.streams.StreamControl
+import corneltrack.router.relay.streams.StreamMetrics
+import corneltrack.router.relay.streams.StreamRecords
 import corneltrack.router.wallClock
 import corneltrack.wire.ControlLimits
 import corneltrack.wire.ControlRequest
@@ -108,6 +111,13 @@
         settings.maximumIdleEndpointConnections,
         { unmatchedResponses.onUnrequestedData(it.id, monotonicClock()) },
     ) { _, _, _ -> }
+    private val streams: StreamControl = StreamControl(
+        routingState.directory,
+        source.streams?.let { StreamRecords(settings.id, it, clock) },
+        clock,
+        { peers.known + 1 },
+        StreamMetrics(metrics.registry)::onTakenUp,
+    )
     private val context = RelayContext(
         loop,
         headerMapping,
@@ -130,6 +140,7 @@
         settings.bounds,
         eventLoopLag,
         monotonicClock,
+        streams,
         versions,
     )
     private val bodyMemory: BodyMemory = BodyMemory(besideBytes = { callerMemory.heldBytes(HeldKind.IN_PROGRESS) })
@@ -166,6 +177,7 @@
         callers.start(settings.callers)
         peers.start()
         loop.execute(routingState::start)
+        loop.execute { streams.start(loop) }
         rollouts?.start(loop)
         WarmUp(settings, routingState, headerMapping, eventLoopLag, clock, metrics::onWarmedUp).start(loop)
         loop.scheduleAtFixedRate(
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayedCall.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayedCall.kt
@@ -58,6 +58,7 @@
  * @property id the request id for the log, or "-" where the caller gave none.
  * @property requestId the caller's id of the request, which tells its response from stray ones, or null if missing.
  * @property workspace the workspace that the request is charged to, or null for a public route.
+ * @property takesUp the stream that the request goes on with, or null if it begins anew.
  * @property priority the priority of the workspace, or else of the route; 0 is the highest.
  * @property regions the only regions that may serve the request and cache its prompt; empty for all.
  * @property generation the work for a model engine, or null for other requests.
@@ -74,6 +75,7 @@
     val message: CallerMessage,
     val sink: ResponseSink,
     val priority: Int = route.priority,
+    val takesUp: TakenUpStream? = null,
 ) {
     /** Identifies retries of the request; lazy, since only requests suspected of crashing an endpoint need the hash. */
     val fingerprint: String by lazy(LazyThreadSafetyMode.NONE) { message.fingerprint(workspace) }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RoutingState.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RoutingState.kt
@@ -43,6 +43,7 @@
  * @property operatorRecordKind returns the kind of an operator record by its key.
  * @property decodeTable decodes a routing table, or returns null if it is malformed.
  * @property decodeEndpoint decodes the record of an endpoint, or returns null if it does not describe one.
+ * @property streams the records of which version began which stream; null if routers do not share them.
  * @property rollouts decodes and encodes the records of roll-outs; null if the platform has none.
  */
 public data class RoutingSource(
@@ -52,6 +53,7 @@
     public val operatorRecordKind: (key: String) -> OperatorRecordKind,
     public val decodeTable: (ByteArray) -> RoutingTable?,
     public val decodeEndpoint: (key: String, value: ByteArray) -> EndpointEntry?,
+    public val streams: KeyedTopic? = null,
     public val rollouts: RolloutRecords? = null,
 )
 
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/streams/StreamRecords.kt
@@ -0,0 +1,113 @@
+package corneltrack.router.relay.streams
+
+import corneltrack.policy.discovery.Clocks
+import corneltrack.policy.streams.StreamOrigins
+import corneltrack.router.relay.KeyedRecord
+import corneltrack.router.relay.KeyedTopic
+import corneltrack.router.relay.TopicResponse
+import corneltrack.wire.event
+import corneltrack.world.InstanceId
+import corneltrack.world.PoolId
+import org.apache.logging.log4j.Level
+import org.apache.logging.log4j.LogManager
+
+/** How long a caller that takes up a stream is kept waiting for the store, in ms. */
+private const val READ_TIMEOUT_MS = 800L
+
+private val logger = LogManager.getLogger("corneltrack.router.relay.streams.StreamRecords")
+
+/**
+ * Shares through the store which version began which stream, so that callers may take streams up at other routers and
+ * after all routers have restarted. Each router has one record. Confined to the event loop.
+ */
+internal class StreamRecords(private val own: InstanceId, private val topic: KeyedTopic, private val clock: Clocks) {
+    private val waiting = ArrayList<(Boolean) -> Unit>()
+    private val mixedUntilMs = HashMap<PoolId, Long>()
+    private var reading = false
+    private var writing = false
+    private var written: ByteArray? = null
+
+    /** The streams that routers have recorded, as last read. */
+    val origins: StreamOrigins = StreamOrigins()
+
+    /** The streams that an earlier process of this router has recorded; a new record must keep them. */
+    private val inherited = StreamOrigins()
+
+    /** Whether all records have been read once. */
+    var loaded = false
+        private set
+
+    /** Whether any router saw several versions in [pool] lately, as last read. */
+    fun isMixed(pool: PoolId): Boolean = (mixedUntilMs[pool] ?: Long.MIN_VALUE) > clock().wallClockMs
+
+    /** Returns until when streams of several versions can be taken up in each pool, as last read. */
+    fun mixedPools(): Map<PoolId, Long> = mixedUntilMs.filterValues { it > clock().wallClockMs }
+
+    /** Forgets what has expired. */
+    fun expire() {
+        val nowMs = clock().wallClockMs
+        origins.expire(nowMs)
+        inherited.expire(nowMs)
+        mixedUntilMs.values.removeIf { it <= nowMs }
+    }
+
+    /** Reads the records of all routers and calls back with whether that succeeded. Calls meanwhile share the read. */
+    fun read(onDone: (Boolean) -> Unit) {
+        waiting += onDone
+        if (reading) return
+        reading = true
+        readPage(null)
+    }
+
+    private fun readPage(after: String?) {
+        topic.newest(after, READ_TIMEOUT_MS) { response ->
+            val page = response as? TopicResponse.Newest
+            page?.records?.forEach(::onRecord)
+            val next = page?.next
+            if (next != null) readPage(next) else onRead(complete = page != null)
+        }
+    }
+
+    private fun onRead(complete: Boolean) {
+        reading = false
+        if (complete) loaded = true
+        val callbacks = waiting.toList()
+        waiting.clear()
+        callbacks.forEach { it(complete) }
+    }
+
+    private fun onRecord(record: KeyedRecord) {
+        val value = record.value ?: return
+        val inherits = !loaded && record.key == own.value
+        if (inherits) written = value
+        val table = StreamTable.decode(value)
+        if (table == null) {
+            logger.event("stream_record_unreadable", Level.WARN) { field("key", record.key) }
+            return
+        }
+        table.mixedUntilMs.forEach { (pool, untilMs) -> mixedUntilMs.merge(PoolId(pool), untilMs, ::maxOf) }
+        val nowMs = clock().wallClockMs
+        table.origins.filter { it.second.expiresMs > nowMs }.forEach { (stream, origin) ->
+            origins.record(stream, origin)
+            if (inherits) inherited.record(stream, origin)
+        }
+    }
+
+    /**
+     * Writes the record of this router if it has changed; removes it where no pool is mixed. Does nothing before the
+     * record of an earlier process has been read, or while another write is in progress.
+     */
+    fun write(streams: StreamOrigins, mixedUntilMs: Map<PoolId, Long>) {
+        if (!loaded || writing) return
+        val value = if (mixedUntilMs.isEmpty()) null else table(streams, mixedUntilMs).encode()
+        if (value contentEquals written) return
+        writing = true
+        topic.write(own.value, value) { confirmed ->
+            writing = false
+            if (confirmed) written = value
+        }
+    }
+
+    private fun table(streams: StreamOrigins, mixedUntilMs: Map<PoolId, Long>) =
+        StreamTable.of(inherited.all + streams.all, mixedUntilMs)
+}
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayFixture.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RelayFixture.kt
@@ -62,6 +62,9 @@
     private val operator = FakeTopic(group.next())
     private val endpoints = FakeTopic(group.next())
     private val peers = FakeTopic(group.next())
+
+    /** The store's records of which version began which stream. */
+    val streams = FakeTopic(group.next())
     private val scriptedEndpoints = ArrayList<ScriptedEndpoint>()
     private val entries = HashMap<String, EndpointEntry>()
     private val ports = freePorts(count = 3)
@@ -90,6 +93,7 @@
         },
         decodeTable = { table },
         decodeEndpoint = { key, value -> entries[String(value)]?.takeIf { it.endpoint.id.value == key } },
+        streams = streams.topic,
         rollouts = testRolloutRecords,
     )
     val router = RelayRouter(settings, group, source, testHeaderMapping)
@@ -100,12 +104,27 @@
         pool: String = "engines",
         dataCentre: String = "here",
         early: Boolean = false,
-        version: String = "",
         script: (ReceivedRequest, Socket) -> Unit,
     ): ScriptedEndpoint {
         val added = ScriptedEndpoint(early, script)
         scriptedEndpoints += added
-        listEndpoint(name, added.address, pool, dataCentre, version = version)
+        listEndpoint(name, added.address, pool, dataCentre)
+        return added
+    }
+
+    /** Starts an endpoint of [version] that responds with [script], and lists it in the store. */
+    fun versionedEndpoint(
+        name: String,
+        version: String,
+        pool: String = "engines",
+        dataCentre: String = "here",
+        script: (ReceivedRequest, Socket) -> Unit,
+    ): ScriptedEndpoint {
+        val added = ScriptedEndpoint(script = script)
+        scriptedEndpoints += added
+        val endpoint =
+            Endpoint(EndpointId(name), PoolId(pool), DataCentreId(dataCentre), added.address, MemberState.LIVE)
+        list(endpoint, startedAtMs = 1, version)
         return added
     }
 
@@ -114,7 +133,7 @@
         name: String,
         version: String,
         script: (ReceivedRequest, Socket) -> Unit,
-    ): ScriptedEndpoint = endpoint(name, "services", version = version, script = script)
+    ): ScriptedEndpoint = versionedEndpoint(name, version, "services", script = script)
 
     /** Writes the record of an endpoint at [address] to the store. */
     fun listEndpoint(
@@ -123,10 +142,9 @@
         pool: String = "engines",
         dataCentre: String = "here",
         state: MemberState = MemberState.LIVE,
-        version: String = "",
     ) {
         val endpoint = Endpoint(EndpointId(name), PoolId(pool), DataCentreId(dataCentre), address, state)
-        list(endpoint, startedAtMs = 1, version)
+        list(endpoint, startedAtMs = 1)
     }
 
     /** Writes the record of another incarnation of the engine [name] to the store. */
@@ -178,7 +196,7 @@
 
     /** Makes the store stop responding, or respond again. */
     fun setStoreUnavailable(unavailable: Boolean) =
-        listOf(operator, endpoints, peers).forEach { it.unavailable = unavailable }
+        listOf(operator, endpoints, peers, streams).forEach { it.unavailable = unavailable }
 
     /** Blocks the router's event loop for [busyMs] at a time, with short pauses, while [action] runs. */
     fun overload(busyMs: Long = BUSY_MS, action: () -> Unit) {
@@ -372,6 +390,7 @@
             apiKey = headers.get("key"),
             timeLeftMs = headers.get("left")?.toLong(),
             cost = generation?.cost,
+            takesUp = headers.get("resumes")?.let(::TakenUpStream),
             readGeneration = { generation },
         )
     },
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/StreamVersionTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/StreamVersionTest.kt
@@ -19,7 +19,7 @@
     @Test
     fun `a broken stream does not go on at another version than the one that began it`() {
         val endpoints = listOf("a" to "old", "b" to "new").map { (name, version) ->
-            fixture.endpoint(name, version = version, script = ::breakOff)
+            fixture.versionedEndpoint(name, version, script = ::breakOff)
         }
         fixture.start()
         fillRetryBudget()
@@ -33,9 +33,9 @@
 
     @Test
     fun `a broken stream goes on at the version that began it though more endpoints have another`() {
-        val old = listOf("a", "b").map { fixture.endpoint(it, version = "old", script = ::breakOff) }
+        val old = listOf("a", "b").map { fixture.versionedEndpoint(it, "old", script = ::breakOff) }
         val new = listOf("c", "d", "e").map {
-            fixture.endpoint(it, dataCentre = "there", version = "new", script = ::breakOff)
+            fixture.versionedEndpoint(it, "new", dataCentre = "there", script = ::breakOff)
         }
         fixture.start()
         fillRetryBudget()
@@ -48,6 +48,37 @@
         assertTrue(new.all { it.resumable.isEmpty() })
     }
 
+    @Test
+    fun `a stream that its caller takes up goes on at the version that began it`() {
+        val old = fixture.versionedEndpoint("a", "old", dataCentre = "there", script = ::breakOff)
+        fixture.start()
+        assertEquals(event(1) + event(2), decodeChunks(fixture.call("/resumed/x", id = "first", headers = GENERATION)))
+        val new = listOf("b", "c", "d").map { fixture.versionedEndpoint(it, "new", script = ::breakOff) }
+        fixture.awaitEndpointsRead()
+
+        val response = fixture.call("/resumed/x", id = "second", headers = takingUp("first"))
+
+        assertEquals(event(3) + event(4), decodeChunks(response))
+        assertEquals(listOf(null, "2"), old.resumable.map { it.headers["last-event"] })
+        assertTrue(new.all { it.resumable.isEmpty() })
+    }
+
+    @Test
+    fun `a stream that no router knows is refused while there are two versions`() {
+        val endpoints = listOf("a" to "old", "b" to "new").map { (name, version) ->
+            fixture.versionedEndpoint(name, version, script = ::breakOff)
+        }
+        fixture.start()
+
+        val response = fixture.call("/resumed/x", headers = takingUp("elsewhere"))
+
+        assertTrue(response.startsWith("HTTP/1.1 503 "), "found $response")
+        assertTrue("retry-after" in response.lowercase(), "found $response")
+        assertTrue(endpoints.all { it.resumable.isEmpty() })
+    }
+
+    private fun takingUp(stream: String) = "${GENERATION}resumes: $stream\r\nlast-event: 2\r\n"
+
     private fun fillRetryBudget() = repeat(10) { fixture.call("/stream/x", headers = GENERATION) }
 
     private val ScriptedEndpoint.resumable get() = requests.filter { it.line.startsWith("POST /resumed/") }
--- /dev/null
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/streams/StreamControlTest.kt
@@ -0,0 +1,165 @@
+package corneltrack.router.relay.streams
+
+import corneltrack.policy.discovery.ClockReading
+import corneltrack.policy.discovery.EndpointDirectory
+import corneltrack.policy.streams.MAXIMUM_STREAM_AGE_MS
+import corneltrack.policy.streams.StreamKey
+import corneltrack.router.relay.KeyedRecord
+import corneltrack.router.relay.KeyedTopic
+import corneltrack.router.relay.TopicResponse
+import corneltrack.world.DataCentreId
+import corneltrack.world.Endpoint
+import corneltrack.world.EndpointId
+import corneltrack.world.InstanceId
+import corneltrack.world.MemberState
+import corneltrack.world.PoolId
+import corneltrack.world.routing.EndpointEntry
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+
+private const val UPDATE_MS = 200L
+private val POOL = PoolId("engines")
+private val STREAM = StreamKey(7)
+
+/** Checks which streams go on where, in a fleet whose routers share one store in memory and one clock. */
+class StreamControlTest {
+    private val store = HashMap<String, ByteArray>()
+    private val directory = EndpointDirectory(graceMs = 0)
+    private var nowMs = 1_000_000L
+    private var storeCalls = 0
+    private var storeDown = false
+
+    private val topic = KeyedTopic(
+        newest = { _, _, onResponse ->
+            storeCalls++
+            val records = store.map { (key, value) -> KeyedRecord(key, value, 0) }
+            onResponse(if (storeDown) TopicResponse.Unavailable("down") else TopicResponse.Newest(records, null, 1))
+        },
+        read = { _, _, _, _ -> error("the newest records are enough") },
+        write = { key, value, onDone ->
+            storeCalls++
+            if (!storeDown) if (value == null) store.remove(key) else store[key] = value
+            onDone(!storeDown)
+        },
+    )
+
+    @Test
+    fun `a stream is taken up at its version at another router`() {
+        list("a" to "old", "b" to "new")
+        val first = router("first")
+        val second = router("second")
+        first.begin(STREAM, "old")
+        pass(first, second)
+
+        assertEquals(StreamContinuation.At("old"), second.takeUp(STREAM))
+    }
+
+    // Guards against streams joined from two versions after all routers have lost what they knew.
+    @Test
+    fun `after all routers have restarted, a stream goes on at its version, and an unknown one nowhere`() {
+        list("a" to "old", "b" to "new")
+        val before = listOf("first", "second").map(::router)
+        before[0].begin(STREAM, "old")
+        pass(before[0], before[1])
+
+        val after = listOf("first", "second").map(::router)
+
+        after.forEach { assertEquals(StreamContinuation.At("old"), it.takeUp(STREAM)) }
+        after.forEach { assertEquals(StreamContinuation.Unknown, it.takeUp(StreamKey(8))) }
+        after.forEach { assertEquals(StreamContinuation.Unknown, it.takeUp(null)) }
+    }
+
+    @Test
+    fun `a restarted router keeps what its earlier process recorded when it writes anew`() {
+        list("a" to "old", "b" to "new")
+        val before = router("first")
+        before.begin(STREAM, "old")
+        pass(before)
+        val after = router("first")
+        after.begin(StreamKey(8), "new")
+        pass(after)
+
+        assertEquals(StreamContinuation.At("old"), router("second").takeUp(STREAM))
+        assertEquals(StreamContinuation.At("new"), router("third").takeUp(StreamKey(8)))
+    }
+
+    // Guards against streams of a version that has just left, after a restart of all routers that know of it.
+    @Test
+    fun `an unknown stream goes on nowhere after a restart while the version that left could have begun it`() {
+        list("a" to "old", "b" to "new")
+        val before = router("first")
+        pass(before)
+        unlist("a")
+        pass(before)
+
+        assertEquals(StreamContinuation.Unknown, router("first").takeUp(STREAM))
+        nowMs += MAXIMUM_STREAM_AGE_MS
+        assertEquals(StreamContinuation.Anywhere, router("first").takeUp(STREAM))
+    }
+
+    @Test
+    fun `streams that began before a second version came are taken up at the first`() {
+        list("a" to "old")
+        val first = router("first")
+        val second = router("second")
+        first.begin(STREAM, "old")
+        pass(first, second)
+        assertTrue(store.isEmpty(), "no store is needed for one version")
+        list("b" to "new")
+        pass(first, second)
+
+        assertEquals(StreamContinuation.At("old"), second.takeUp(STREAM))
+    }
+
+    @Test
+    fun `with a single version streams go on anywhere without the store`() {
+        list("a" to "old", "b" to "old")
+        val router = router("first")
+        pass(router)
+        storeCalls = 0
+        storeDown = true
+
+        assertEquals(StreamContinuation.Anywhere, router.takeUp(STREAM))
+        pass(router)
+        assertEquals(0, storeCalls)
+    }
+
+    @Test
+    fun `without the store an unknown stream goes on nowhere while there are two versions`() {
+        list("a" to "old", "b" to "new")
+        storeDown = true
+        val router = router("first")
+        router.begin(STREAM, "new")
+
+        assertEquals(StreamContinuation.Unknown, router.takeUp(StreamKey(8)))
+        assertEquals(StreamContinuation.At("new"), router.takeUp(STREAM))
+    }
+
+    private fun router(name: String): StreamControl {
+        val clock = { ClockReading(nowMs, nowMs) }
+        return StreamControl(directory, StreamRecords(InstanceId(name), topic, clock), clock, { 1 }, { })
+            .also { it.load() }
+    }
+
+    private fun StreamControl.begin(stream: StreamKey, version: String) =
+        onFirstEvent(stream, POOL, version, remainingMs = 10_000)
+
+    private fun StreamControl.takeUp(stream: StreamKey?): StreamContinuation {
+        val decided = ArrayList<StreamContinuation>()
+        onTakeUp(stream, POOL) { decided += it }
+        return decided.single()
+    }
+
+    private fun pass(vararg routers: StreamControl) {
+        nowMs += UPDATE_MS
+        routers.forEach { it.update() }
+    }
+
+    private fun list(vararg versions: Pair<String, String>) = versions.forEach { (name, version) ->
+        val endpoint = Endpoint(EndpointId(name), POOL, DataCentreId("here"), "127.0.0.1:1", MemberState.LIVE)
+        directory.onEntry(EndpointEntry(endpoint, nowMs, 1, 4, coldStartRemainingMs = 0, version), nowMs)
+    }
+
+    private fun unlist(name: String) = directory.onRemoved(EndpointId(name), storeRecoveredMs = null, nowMs)
+}
