Do not take a caller that takes up a stream for one that retries late

Cause: what is left of the caller's time was read as time spent on refused tries, so that each take-up counted as a retry past its objective, which yields to all others. Class of fault: one figure read for two conditions.

CallTimesTest failed before the change (2,500 ms, expected 0). Why this works: a stream that is taken up is judged like one that begins now. The computation moves to a file of its own.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallHandler.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallHandler.kt
@@ -23,9 +23,6 @@
 private const val ABOVE_SHARE_RETRY_MS = 300L
 private const val QUARANTINE_RETRY_MS = 10_000L
 
-/** A caller with less than this share of the longest time left seen on its route is taken to be retrying. */
-private const val FIRST_TRY_TIME_SHARE = 0.85
-
 /** Logged for requests without an id. */
 private const val NO_REQUEST_ID = "-"
 
@@ -137,19 +134,10 @@
         )
     }
 
-    /**
-     * Computes the deadlines of a request and how long its caller has already waited on earlier tries.
-     *
-     * A caller that retries after a refusal has less time left than on its first try. Timeouts differ between callers,
-     * so only the part below [FIRST_TRY_TIME_SHARE] of the longest time left seen on the route counts as earlier wait.
-     */
     private fun callTimes(metadata: CallerMetadata, admission: CallAdmission.Accepted): CallTimes {
-        val nowMs = context.nowMs()
         val timeoutMs = admission.route.timeoutMs
-        val timeLeftMs = metadata.timeLeftMs ?: timeoutMs
-        val longestMs = longestTimeLeftMs.merge(admission.route.name, timeLeftMs, ::maxOf) ?: timeLeftMs
-        val earlierWaitMs = ((longestMs * FIRST_TRY_TIME_SHARE).toLong() - timeLeftMs).coerceAtLeast(0)
-        return CallTimes(nowMs, nowMs + timeLeftMs, nowMs + minOf(timeLeftMs, timeoutMs), earlierWaitMs)
+        val longestMs = longestTimeLeftMs.merge(admission.route.name, metadata.timeLeftMs ?: timeoutMs, ::maxOf)
+        return callTimes(metadata, timeoutMs, longestMs ?: timeoutMs, context.nowMs())
     }
 
     private fun allowedRegions(admission: CallAdmission.Accepted): Set<RegionId> {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayedCall.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayedCall.kt
@@ -37,21 +37,6 @@
     }
 }
 
-/**
- * Holds the times that bound a request. Points in time are in ms of the monotonic clock.
- *
- * @property arrivedMs when the request arrived.
- * @property callerDeadlineMs when the caller stops waiting.
- * @property responseDeadlineMs when the router gives up: the earlier of the caller's deadline and the route's timeout.
- * @property earlierWaitMs how long the caller has waited on earlier tries of the request, in ms.
- */
-internal data class CallTimes(
-    val arrivedMs: Long,
-    val callerDeadlineMs: Long,
-    val responseDeadlineMs: Long,
-    val earlierWaitMs: Long,
-)
-
 /**
  * Holds an admitted request and the state of its attempts. Confined to the event loop.
  *
