--- a/corneltrack-policy/src/test/kotlin/corneltrack/policy/placement/FloodedRouterModel.kt
+++ b/corneltrack-policy/src/test/kotlin/corneltrack/policy/placement/FloodedRouterModel.kt
@@ -3,6 +3,7 @@
 import corneltrack.policy.limits.EventLoopLag
 import corneltrack.world.InstanceId
 import corneltrack.world.WorkspaceId
+import java.util.PriorityQueue
 import kotlin.random.Random
 
 private const val LAG_PERIOD_MS = 100.0
@@ -31,6 +32,8 @@
  * @property refusalMs the processor time to read and refuse a request, in ms of this router's share.
  * @property placementMs the processor time to place a prompt and to relay its answer, in ms of this router's share.
  * @property contended whether engines refuse some of what the peers attempt.
+ * @property returnAfterMs after how many ms a flood's caller that is refused for the router's lag returns, once, by how
+ *   long the flood has lasted; null if callers do not return.
  */
 internal data class FloodedRouterPlan(
     val floodPerSecond: Double = 1_500.0,
@@ -41,6 +44,7 @@
     val contended: Boolean = true,
     val seconds: Int = 12,
     val seed: Int = 1,
+    val returnAfterMs: ((floodMs: Long, random: Random) -> Long)? = null,
 )
 
 /** What the callers of one workspace got from the router in one second. */
@@ -52,6 +56,8 @@
     private val lag = EventLoopLag(LAG_PERIOD_MS.toLong())
     private val shares = FairShareTracker()
     private val shedding = LoadShedding(lag, shares)
+    /** When refused callers of the flood return, in ms. */
+    private val returningMs = PriorityQueue<Double>()
     private val seconds = mapOf(FLOOD to seconds(), MINOR to seconds())
     private var nowMs = 0.0
     private var readMs = 0.0
@@ -78,7 +84,9 @@
         if (arrived == 0) nowMs += 1
         val count = minOf(arrived, READS_PER_ITERATION)
         readMs += count / perMs
-        repeat(count) { read() }
+        repeat(count) { read(random.nextDouble() * (plan.floodPerSecond + plan.minorPerSecond) < plan.floodPerSecond) }
+        generateSequence { returningMs.peek()?.takeIf { it <= startMs }?.also { returningMs.remove() } }
+            .forEach { _ -> read(flood = true, returned = true) }
     }
 
     private fun runTasks() {
@@ -98,13 +106,14 @@
         }
     }
 
-    private fun read() {
-        val flood = random.nextDouble() * (plan.floodPerSecond + plan.minorPerSecond) < plan.floodPerSecond
+    private fun read(flood: Boolean, returned: Boolean = false) {
         val workspace = if (flood) FLOOD else MINOR
         val second = seconds.getValue(workspace)[(nowMs / MS_PER_SECOND).toInt()]
         second.read++
         val cost = PROMPT_TOKENS.takeIf { flood }
-        val admitted = shedding.decide(workspace, cost, nowMs.toLong()) == SheddingDecision.ADMIT
+        val decision = shedding.decide(workspace, cost, nowMs.toLong())
+        val admitted = decision == SheddingDecision.ADMIT
+        if (flood && !returned && decision == SheddingDecision.OVERLOADED) scheduleReturn()
         nowMs += if (admitted) plan.placementMs else plan.refusalMs
         if (!admitted) return
         second.admitted++
@@ -113,4 +122,8 @@
         shares.onAttempted(workspace, cost, granted, nowMs.toLong())
         if (granted) second.grantedTokens += cost
     }
+
+    private fun scheduleReturn() {
+        plan.returnAfterMs?.let { returningMs += nowMs + it(nowMs.toLong(), random) }
+    }
 }
