--- a/corneltrack-policy/src/test/kotlin/corneltrack/policy/placement/FloodedRouterModel.kt
+++ b/corneltrack-policy/src/test/kotlin/corneltrack/policy/placement/FloodedRouterModel.kt
@@ -32,8 +32,8 @@
  * @property refusalMs the processor time to read and refuse a request, in ms of this router's share.
  * @property placementMs the processor time to place a prompt and to relay its answer, in ms of this router's share.
  * @property contended whether engines refuse some of what the peers attempt.
- * @property returnAfterMs after how many ms a flood's caller that is refused for the router's lag returns, once, by how
- *   long the flood has lasted; null if callers do not return.
+ * @property returnAfterMs after how many ms a caller of the flood that the router refuses as it is late returns, once,
+ *   by how long the flood has lasted; null if callers do not return.
  */
 internal data class FloodedRouterPlan(
     val floodPerSecond: Double = 1_500.0,
@@ -56,6 +56,7 @@
     private val lag = EventLoopLag(LAG_PERIOD_MS.toLong())
     private val shares = FairShareTracker()
     private val shedding = LoadShedding(lag, shares)
+
     /** When refused callers of the flood return, in ms. */
     private val returningMs = PriorityQueue<Double>()
     private val seconds = mapOf(FLOOD to seconds(), MINOR to seconds())
