Expect half of the output of a stream that is taken up, instead of all of it

Cause: the router took the output that the caller states for the whole stream as the work ahead. What is left is not known to it; of a stream broken off at any moment it is half on average, for the deadline and for the engine's load alike.

CallWorkTest failed before the change (757 tokens, expected 379).

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/Generation.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/placement/Generation.kt
@@ -35,6 +35,9 @@
 
     /** The cost of the request, in tokens. */
     val cost: Long get() = TokenCounts(promptTokens, outputTokens).cost
+
+    /** The work for the rest of a stream that was broken off: an unknown part of the output, on average half of it. */
+    val remainder: Generation get() = copy(outputTokens = (outputTokens + 1) / 2)
 }
 
 /**
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallHandler.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallHandler.kt
@@ -125,7 +125,7 @@
             route = admission.route,
             pool = admission.pool,
             regions = allowedRegions(admission),
-            generation = metadata.readGeneration(),
+            generation = callWork(metadata),
             times = callTimes(metadata, admission),
             message = CallerMessage(request),
             sink = sink,
