Bound the record of streams, write it less often, and log where the store does not take it

Found in reading the change again. A record of 20,000 streams would have exceeded what the store takes (262,144 bytes), so that nothing of that router would have been shared, without a line in the log; it now has the 12,000 begun last, and stream_record_not_written says so. While a pool was mixed the record changed with every update, as the end of the mixture moved; that end moves in steps of a second. An unused function goes.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/streams/StreamControl.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/streams/StreamControl.kt
@@ -19,6 +19,11 @@
 /** The time between two writes for each router of the fleet, in ms, so that all make no more than 200 a second. */
 private const val WRITE_INTERVAL_PER_ROUTER_MS = 5L
 
+/** The step, in ms, in which the end of a mixture is shared, so that a record without new streams changes seldom. */
+private const val MIXED_UNTIL_STEP_MS = 1_000L
+
+private fun Long.roundedUp() = (this / MIXED_UNTIL_STEP_MS + 1) * MIXED_UNTIL_STEP_MS
+
 /**
  * Which endpoints a stream that a caller takes up may go on at.
  *
@@ -88,7 +93,8 @@
     private fun mixedPools(): Map<PoolId, Long> {
         val now = clock()
         versions.observe(directory.endpoints.values, now.monotonicMs)
-        val seen = versions.mixedPools(now.monotonicMs).mapValues { (_, remainingMs) -> now.wallClockMs + remainingMs }
+        val mixed = versions.mixedPools(now.monotonicMs)
+        val seen = mixed.mapValues { (_, leftMs) -> (now.wallClockMs + leftMs).roundedUp() }
         val read = records?.mixedPools().orEmpty()
         return (seen.keys + read.keys).associateWith { maxOf(seen[it] ?: 0, read[it] ?: 0) }
     }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/streams/StreamRecords.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/streams/StreamRecords.kt
@@ -37,9 +37,6 @@
     var loaded = false
         private set
 
-    /** Whether any router saw several versions in [pool] lately, as last read. */
-    fun isMixed(pool: PoolId): Boolean = (mixedUntilMs[pool] ?: Long.MIN_VALUE) > clock().wallClockMs
-
     /** Returns until when streams of several versions can be taken up in each pool, as last read. */
     fun mixedPools(): Map<PoolId, Long> = mixedUntilMs.filterValues { it > clock().wallClockMs }
 
@@ -104,10 +101,15 @@
         writing = true
         topic.write(own.value, value) { confirmed ->
             writing = false
-            if (confirmed) written = value
+            if (confirmed) written = value else onNotWritten(value)
         }
     }
 
+    /** The next write has what this one had. */
+    private fun onNotWritten(value: ByteArray?) = logger.event("stream_record_not_written", Level.WARN) {
+        field("bytes", value?.size)
+    }
+
     private fun table(streams: StreamOrigins, mixedUntilMs: Map<PoolId, Long>) =
         StreamTable.of(inherited.all + streams.all, mixedUntilMs)
 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/streams/StreamTable.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/streams/StreamTable.kt
@@ -9,6 +9,9 @@
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
 
+/** The streams in a record, those begun last, so that the store takes it: each needs up to 18 bytes of 262,144. */
+private const val MAXIMUM_SHARED_STREAMS = 12_000
+
 /**
  * A version of a pool's endpoints and the streams that it began, as routers write them to the store.
  *
@@ -46,7 +49,7 @@
     companion object {
         /** Returns the table of [origins], of which those of other pools than [mixedUntilMs] names are left out. */
         fun of(origins: Map<StreamKey, StreamOrigin>, mixedUntilMs: Map<PoolId, Long>): StreamTable {
-            val shared = origins.entries.filter { it.value.pool in mixedUntilMs }
+            val shared = origins.entries.filter { it.value.pool in mixedUntilMs }.takeLast(MAXIMUM_SHARED_STREAMS)
             val rows = shared.groupBy { it.value.pool to it.value.version }.map { (made, entries) ->
                 val (pool, version) = made
                 StreamRow(pool.value, version, entries.map { it.key.value }, entries.map { it.value.expiresMs })
