Compute a stream's key once, with the digest that the router already has

Found in reading the change again; what callers and operators see stays. The key was hashed anew at the first event and at the end of each stream, with a framing of its own beside that of Digest.kt: it is a lazy property of the call now, from shortDigest. A stream whose version is known no longer has all endpoints looked through for it. The result of reading the records, which nobody used, is no longer passed on.

The linter, and Stream*Test, Call*Test, EventRelayTest, StalledStreamTest, WarmUpTest and DeadlyPartTest pass.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/Digest.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/Digest.kt
@@ -1,6 +1,7 @@
 package corneltrack.router
 
 import corneltrack.router.callers.BodyContent
+import java.nio.ByteBuffer
 import java.security.MessageDigest
 
 /** Returns the SHA-256 of [parts] in lower-case hexadecimal. Each part is prefixed with its length. */
@@ -9,13 +10,18 @@
 /** Returns the SHA-256 of [text] and [body] in the same way. */
 internal fun digest(text: String, body: BodyContent): String = digest(listOf(BodyContent(text.toByteArray()), body))
 
-private fun digest(parts: List<BodyContent>): String {
+/** Returns the first 64 bits of the SHA-256 of [parts], which are prefixed with their lengths in the same way. */
+internal fun shortDigest(vararg parts: ByteArray): Long = ByteBuffer.wrap(sha256(parts.map { BodyContent(it) })).long
+
+private fun digest(parts: List<BodyContent>): String = hexadecimal(sha256(parts))
+
+private fun sha256(parts: List<BodyContent>): ByteArray {
     val sha = MessageDigest.getInstance("SHA-256")
     parts.forEach { part ->
         sha.update("${part.size}:".toByteArray())
         part.addTo(sha)
     }
-    return hexadecimal(sha.digest())
+    return sha.digest()
 }
 
 /** Returns the hash by which the configuration identifies an API key. */
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayedCall.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayedCall.kt
@@ -1,12 +1,14 @@
 package corneltrack.router.relay
 
 import corneltrack.policy.placement.Generation
+import corneltrack.policy.streams.StreamKey
 import corneltrack.router.callers.BodyContent
 import corneltrack.router.callers.CallerRequest
 import corneltrack.router.callers.CompactHeaders
 import corneltrack.router.callers.ResponseSink
 import corneltrack.router.digest
 import corneltrack.router.endToEnd
+import corneltrack.router.shortDigest
 import corneltrack.world.EndpointId
 import corneltrack.world.RegionId
 import corneltrack.world.WorkspaceId
@@ -65,6 +67,12 @@
     /** Identifies retries of the request; lazy, since only requests suspected of crashing an endpoint need the hash. */
     val fingerprint: String by lazy(LazyThreadSafetyMode.NONE) { message.fingerprint(workspace) }
 
+    /** Identifies the stream that the call begins or goes on with; null where its caller has not named it. */
+    val streamKey: StreamKey? by lazy(LazyThreadSafetyMode.NONE) {
+        val id = if (takesUp != null) takesUp.stream else requestId
+        id?.let { StreamKey(shortDigest(workspace?.value.orEmpty().toByteArray(), it.toByteArray())) }
+    }
+
     /** Endpoints at which an attempt failed; they are not chosen again. */
     val triedEndpoints: MutableSet<EndpointId> = HashSet()
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/streams/CallStreams.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/streams/CallStreams.kt
@@ -1,11 +1,8 @@
 package corneltrack.router.relay.streams
 
-import corneltrack.policy.streams.StreamKey
 import corneltrack.router.relay.RelayedCall
 import corneltrack.wire.event
 import org.apache.logging.log4j.LogManager
-import java.nio.ByteBuffer
-import java.security.MessageDigest
 
 private val logger = LogManager.getLogger("corneltrack.router.relay.streams.CallStreams")
 
@@ -33,13 +30,3 @@
         }
         onDecided(continuation)
     }
-
-/** Identifies the stream that the call begins or goes on with, or null where its caller has not named it. */
-private val RelayedCall.streamKey: StreamKey?
-    get() = (if (takesUp != null) takesUp.stream else requestId)?.let { id ->
-        val workspaceBytes = workspace?.value.orEmpty().toByteArray()
-        val sha = MessageDigest.getInstance("SHA-256")
-        sha.update(ByteBuffer.allocate(Int.SIZE_BYTES).putInt(workspaceBytes.size).array())
-        sha.update(workspaceBytes)
-        StreamKey(ByteBuffer.wrap(sha.digest(id.toByteArray())).long)
-    }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/streams/StreamControl.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/streams/StreamControl.kt
@@ -128,10 +128,9 @@
 
     private fun decide(stream: StreamKey?, pool: PoolId): StreamContinuation {
         val origin = stream?.let { streams[it] ?: records?.origins?.get(it) }
-        val single = records?.loaded != false && pool !in mixedPools()
         return when {
             origin != null -> StreamContinuation.At(origin.version)
-            single -> StreamContinuation.Anywhere
+            records?.loaded != false && pool !in mixedPools() -> StreamContinuation.Anywhere
             else -> StreamContinuation.Unknown
         }
     }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/streams/StreamRecords.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/streams/StreamRecords.kt
@@ -21,7 +21,7 @@
  * after all routers have restarted. Each router has one record. Confined to the event loop.
  */
 internal class StreamRecords(private val own: InstanceId, private val topic: KeyedTopic, private val clock: Clocks) {
-    private val waiting = ArrayList<(Boolean) -> Unit>()
+    private val waiting = ArrayList<() -> Unit>()
     private val mixedUntilMs = HashMap<PoolId, Long>()
     private var reading = false
     private var writing = false
@@ -48,8 +48,8 @@
         mixedUntilMs.values.removeIf { it <= nowMs }
     }
 
-    /** Reads the records of all routers and calls back with whether that succeeded. Calls meanwhile share the read. */
-    fun read(onDone: (Boolean) -> Unit) {
+    /** Reads the records of all routers and calls back, also where that failed. Calls meanwhile share the read. */
+    fun read(onDone: () -> Unit) {
         waiting += onDone
         if (reading) return
         reading = true
@@ -70,7 +70,7 @@
         if (complete) loaded = true
         val callbacks = waiting.toList()
         waiting.clear()
-        callbacks.forEach { it(complete) }
+        callbacks.forEach { it() }
     }
 
     private fun onRecord(record: KeyedRecord) {
