Say once how a part of the heap is reckoned, and which part bodies and heads share

Found in reading the change again; no bound changes. BodyMemory and CallerMemory each had the part of the heap for bodies and heads together, as equal constants that had to stay equal, and four files wrote out the product with the largest heap.

The linter, and *Memory*Test, SlowReaderTest, EndlessResponseTest and Prefix*Test pass.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/callers/BodyMemory.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/callers/BodyMemory.kt
@@ -1,5 +1,6 @@
 package corneltrack.router.callers
 
+import corneltrack.router.heapFraction
 import java.util.concurrent.atomic.AtomicLong
 
 /** Bodies up to this size may use a part of the memory that is kept from longer ones. */
@@ -11,8 +12,8 @@
 /** The part of the heap that is added to it for short bodies. */
 private const val SHORT_BODIES_HEAP_FRACTION = 0.0625
 
-/** The part of the heap that bodies and what is kept of heads may occupy together. */
-private const val TOTAL_HEAP_FRACTION = 0.625
+/** The part of the heap for bodies and decoded heads together, also those of requests in progress. */
+internal const val TOTAL_HEAP_FRACTION = 0.625
 
 /**
  * Bounds the memory that the bodies of all requests occupy together, from their heads until their responses have been
@@ -70,5 +71,3 @@
         }
     }
 }
-
-private fun heapFraction(fraction: Double): Long = (Runtime.getRuntime().maxMemory() * fraction).toLong()
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerMemory.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/callers/CallerMemory.kt
@@ -1,5 +1,6 @@
 package corneltrack.router.callers
 
+import corneltrack.router.heapFraction
 import io.netty.util.internal.PlatformDependent
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
@@ -7,9 +8,6 @@
 /** The part of the heap for decoded heads; bodies take up to 9/16 of it, responses that are not passed on 1/8. */
 private const val HEADS_HEAP_FRACTION = 0.125
 
-/** The part of the heap for bodies and decoded heads together. */
-private const val TOTAL_HEAP_FRACTION = 0.625
-
 /** The part of their bound that heads keep however much bodies hold. */
 private const val HEADS_RESERVE_FRACTION = 0.25
 
@@ -51,8 +49,8 @@
  * @property waitingBytes what all connections may have waiting to be decoded or to be read.
  */
 internal data class CallerMemoryBounds(
-    val headBytes: Long = (Runtime.getRuntime().maxMemory() * HEADS_HEAP_FRACTION).toLong(),
-    val totalHeapBytes: Long = (Runtime.getRuntime().maxMemory() * TOTAL_HEAP_FRACTION).toLong(),
+    val headBytes: Long = heapFraction(HEADS_HEAP_FRACTION),
+    val totalHeapBytes: Long = heapFraction(TOTAL_HEAP_FRACTION),
     val waitingBytes: Long = (PlatformDependent.maxDirectMemory() * WAITING_DIRECT_FRACTION).toLong(),
 )
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointState.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/EndpointState.kt
@@ -18,6 +18,7 @@
 import corneltrack.policy.placement.PrefixReports
 import corneltrack.policy.placement.ServiceLoad
 import corneltrack.policy.placement.TransferSuccess
+import corneltrack.router.heapFraction
 import corneltrack.world.EndpointId
 import corneltrack.world.PoolId
 
@@ -108,8 +109,7 @@
     private val pools = HashMap<PoolId, PoolLearning>()
 
     /** What the prefix cache estimates of all endpoints hold together. */
-    val prefixCapacity =
-        PrefixCapacity.ofBytes((Runtime.getRuntime().maxMemory() * PREFIXES_HEAP_FRACTION).toLong())
+    val prefixCapacity = PrefixCapacity.ofBytes(heapFraction(PREFIXES_HEAP_FRACTION))
 
     /** Returns the state of [known]; a new one if the endpoint is unknown or has restarted. */
     fun of(known: KnownEndpoint): EndpointState {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/ResponseMemory.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/ResponseMemory.kt
@@ -1,5 +1,7 @@
 package corneltrack.router.relay
 
+import corneltrack.router.heapFraction
+
 /** 8 MiB of the heap of 64 MiB that the router is deployed with. */
 private const val HELD_HEAP_FRACTION = 0.125
 private const val MAXIMUM_HELD_BYTES = 8L * 1024 * 1024
@@ -39,5 +41,4 @@
     }
 }
 
-private fun defaultMaximumBytes(): Long =
-    minOf(MAXIMUM_HELD_BYTES, (Runtime.getRuntime().maxMemory() * HELD_HEAP_FRACTION).toLong())
+private fun defaultMaximumBytes(): Long = minOf(MAXIMUM_HELD_BYTES, heapFraction(HELD_HEAP_FRACTION))
