--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayMetrics.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayMetrics.kt
@@ -61,6 +61,9 @@
     private val warmUpRequests = Gauge.builder().name("corneltrack_relay_warm_up_requests")
         .help("Made-up requests that were run to have the code compiled, once all have.").register(registry)
 
+    /** How often copies of the store's records became too old to say what it lacks. */
+    val viewDoubts: ViewDoubtMetrics = ViewDoubtMetrics(registry)
+
     /** What callers hold beside bodies. */
     val callers: CallerMemoryMetrics = CallerMemoryMetrics(registry)
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
@@ -129,7 +129,7 @@
             clock,
             EndpointSelection(::hasIdleConnection, versions) { peers.fleetPosition() },
         ),
-        RelayEventLog({ routingState.table?.version }, { routingState.endpointAgeMs() }),
+        RelayEventLog({ routingState.loggedTable }, routingState::endpointAgeMs),
         metrics,
         unmatchedResponses,
         suspects,
@@ -247,6 +247,7 @@
     private fun runMaintenance() {
         try {
             routingState.expire()
+            routingState.currency.forEach { it.update(metrics.viewDoubts::onDoubt) }
             val responseBytes = context.responseMemory.heldBytes
             metrics.onHeld(bodyMemory.heldBytes, responseBytes, load.states.prefixCapacity.heldSegments)
             load.states.updatePaceStated()
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelaySettings.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelaySettings.kt
@@ -18,6 +18,8 @@
  *
  * @property failClosed whether API keys are refused once the cached configuration is older than [maximumKeyAgeMs].
  * @property maximumKeyAgeMs the age of the cached configuration up to which its API keys are accepted, in ms.
+ * @property maximumViewAgeMs the age up to which a copy of the store's records counts as current, in ms: what it lacks
+ *   does not exist.
  * @property relistingTimeoutMs how long endpoints may take to be listed again after an outage of the store, in ms.
  * @property retryRatio the retries allowed for each request of a caller, over [retryWindowMs].
  * @property retryWindowMs the sliding window of the retry budget, in ms.
@@ -32,6 +34,7 @@
 public data class RelayBounds(
     val failClosed: Boolean = true,
     val maximumKeyAgeMs: Long = 3_500,
+    val maximumViewAgeMs: Long = 2_400,
     val relistingTimeoutMs: Long = 2_500,
     val retryRatio: Double = 0.2,
     val retryWindowMs: Long = 10_000,
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RoutingState.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RoutingState.kt
@@ -104,12 +104,23 @@
     /** The followers of the operator and endpoint topics. */
     val followers: List<TopicFollower> get() = listOf(operatorFollower, endpointFollower)
 
+    /** Whether the copies of both topics are recent enough to say what the store lacks. */
+    val currency: List<ViewCurrency> = followers.map { follower ->
+        ViewCurrency(
+            follower.name,
+            bounds.maximumViewAgeMs
+        ) { ViewState(follower.ageMs, follower.confirmation?.source) }
+    }
+
     val directory = EndpointDirectory(bounds.relistingTimeoutMs)
 
     /** The current routing table; null until the first one is read. */
     var table: RoutingTable? = null
         private set
 
+    /** The routing table as log lines describe it. */
+    val loggedTable: LoggedTable get() = LoggedTable(table?.version, operatorFollower.viewState())
+
     /** The data centres that receive no requests. */
     val evacuated: MutableSet<DataCentreId> = HashSet()
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicCopy.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicCopy.kt
@@ -2,6 +2,8 @@
 
 import corneltrack.policy.discovery.ClockReading
 import corneltrack.policy.discovery.Clocks
+import corneltrack.policy.discovery.Confirmation
+import corneltrack.policy.discovery.ConfirmationSource
 import corneltrack.policy.discovery.TopicWatermark
 
 /**
@@ -49,11 +51,11 @@
     var nextOffset = 0L
         private set
 
-    /**
-     * The latest time at which the store is known to have had no record newer than those read here; null before the
-     * first complete read. Established by a read of this router or by a peer's watermark.
-     */
-    var asOf: ClockReading? = null
+    /** The latest time as of which this copy is known to be complete; null before the first complete read. */
+    var confirmation: Confirmation? = null
+
+    /** The time of [confirmation]. */
+    val asOf: ClockReading? get() = confirmation?.asOf
 
     /** The offset after the last record that changed the state of this router. */
     val lastChangeEnd: Long get() = deduplicator.lastChangeEnd
@@ -86,7 +88,7 @@
         val known = nextOffset > 0 && settledEnd == end && end > load.from
         journal.restart(settledEnd, if (known) reloadedBatch(load, end) else null, clock().monotonicMs)
         nextOffset = end
-        asOf = load.startedAt
+        confirmation = Confirmation(load.startedAt, ConfirmationSource.READ)
     }
 
     private fun reloadedBatch(load: TopicLoad, end: Long): RecordBatch {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicFollower.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicFollower.kt
@@ -2,6 +2,8 @@
 
 import corneltrack.policy.discovery.ClockReading
 import corneltrack.policy.discovery.Clocks
+import corneltrack.policy.discovery.Confirmation
+import corneltrack.policy.discovery.ConfirmationSource
 import corneltrack.policy.discovery.TopicWatermark
 import corneltrack.policy.discovery.takeoverAgeMs
 import io.netty.channel.EventLoop
@@ -93,10 +95,10 @@
     /** Identifies the topic in logs and in watermarks. */
     val name: String = followed.name
 
-    /**
-     * The latest time at which the store is known to have had no record newer than those read here; null before the
-     * first complete read. Established by a read of this router or by a peer's watermark.
-     */
+    /** The latest time as of which the copy is known to be complete; null before the first complete read. */
+    val confirmation: Confirmation? get() = copy.confirmation
+
+    /** The time of [confirmation]. */
     val asOf: ClockReading? get() = copy.asOf
 
     /** The time since [asOf], in ms; null before the first complete read. */
@@ -149,7 +151,7 @@
             watermark.lastChangeEnd > copy.nextOffset -> onMissedChange(watermark, records != null)
             // The peer has read the topic more recently, so it is the one that polls.
             now.since(peerAsOf) < now.since(current) -> {
-                copy.asOf = peerAsOf
+                copy.confirmation = Confirmation(peerAsOf, ConfirmationSource.PEER)
                 polling = false
             }
         }
@@ -192,7 +194,7 @@
             if (upToDate) onUpToDate() else reader.read(timing.waitMs, StoreCallCause.FOLLOW_UP)
         }
         is ReadOutcome.ReachedEnd -> {
-            copy.asOf = outcome.asOf
+            copy.confirmation = Confirmation(outcome.asOf, ConfirmationSource.READ)
             onUpToDate()
         }
         is ReadOutcome.RetryDue -> {
--- /dev/null
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/ViewCurrency.kt
@@ -0,0 +1,60 @@
+package corneltrack.router.relay
+
+import corneltrack.policy.discovery.ConfirmationSource
+import corneltrack.wire.LogEvent
+import corneltrack.wire.event
+import org.apache.logging.log4j.Level
+import org.apache.logging.log4j.LogManager
+
+private val logger = LogManager.getLogger("corneltrack.router.relay.ViewCurrency")
+
+/**
+ * How current the copy of a topic is.
+ *
+ * @property ageMs the time since the copy is known to have been complete, in ms; null before the first complete read.
+ * @property source how that is known.
+ */
+internal data class ViewState(val ageMs: Long?, val source: ConfirmationSource?) {
+    /** Adds this state to a log line, with the age as [ageField]. */
+    fun addTo(line: LogEvent, ageField: String) {
+        line.field(ageField, ageMs)
+        line.field("confirmed_by", source?.name?.lowercase())
+    }
+}
+
+/** Returns how current the copy of this topic is. */
+internal fun TopicFollower.viewState(): ViewState = ViewState(ageMs, confirmation?.source)
+
+/**
+ * Logs when the copy of a topic becomes too old to say what the store lacks, and when it is current again.
+ *
+ * @property name the topic.
+ * @param maximumAgeMs the age up to which the copy counts as current, in ms.
+ * @param state returns how current the copy is.
+ */
+internal class ViewCurrency(val name: String, private val maximumAgeMs: Long, private val state: () -> ViewState) {
+    /** The age of the copy when it was last found in doubt, in ms; null while it is current or was never complete. */
+    private var doubtedAgeMs: Long? = null
+
+    /** Logs a change since the last call. Calls [onDoubt] with the topic when the copy has come into doubt. */
+    fun update(onDoubt: (topic: String) -> Unit) {
+        val now = state()
+        val ageMs = now.ageMs ?: return
+        val before = doubtedAgeMs
+        val doubted = ageMs > maximumAgeMs
+        doubtedAgeMs = ageMs.takeIf { doubted }
+        if (doubted && before == null) {
+            onDoubt(name)
+            logChange("view_in_doubt", Level.WARN, now)
+        } else if (!doubted && before != null) {
+            logChange("view_current", Level.INFO, now, before)
+        }
+    }
+
+    private fun logChange(event: String, level: Level, now: ViewState, doubtedAgeMs: Long? = null) =
+        logger.event(event, level) {
+            field("topic", name)
+            now.addTo(this, "age_ms")
+            doubtedAgeMs?.let { field("oldest_ms", it) }
+        }
+}
