Tell absent from not known: refuse nothing as unknown by a table that may be old

Callers got 404 for routes, and 401 for keys where these do not fail closed, that the operator had added while the router could not read the store. Cause: the age of the table was asked after the route had been looked up, and only for keys. Class: a conclusion drawn from absence by a view that is old or was never complete. A look-up in the table now comes back as Found, Absent or NotKnown (CachedView), the last once the table is older than four fifths of the bound for applying changes, and gets 503 with Retry-After. Before all operators' records were read once, nothing is admitted: a table of several pages could come without its evacuations.

StaleConfigurationTest, CachedViewTest and RelayRouterTest pass.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallAdmission.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallAdmission.kt
@@ -1,5 +1,7 @@
 package corneltrack.router.relay
 
+import corneltrack.policy.discovery.CachedView
+import corneltrack.policy.discovery.Lookup
 import corneltrack.router.callers.Refusal
 import corneltrack.world.WorkspaceId
 import corneltrack.world.routing.Route
@@ -33,26 +35,42 @@
 /**
  * Decides from the routing table whether a request is admitted and which pool serves it.
  *
- * @param table the current routing table, or null before the first one is known.
+ * @param view the routing table, or null before it was read completely for the first time.
  * @param keysStale whether the configuration is so old that a revoked key could still be in the table.
  * @param random a random number in 0..1 that selects one of the route's weighted pools.
  */
 internal fun admitCall(
     metadata: CallerMetadata,
-    table: RoutingTable?,
+    view: CachedView<RoutingTable>?,
     keysStale: Boolean,
     random: Double,
 ): CallAdmission {
-    val route = table?.routeFor(metadata.host, metadata.path)
-    val pool = route?.choosePool(random)?.let { table.pools[it.pool] }
+    if (view == null) return CallAdmission.Refused(NO_CONFIGURATION)
+    return when (val route = view.find { it.routeFor(metadata.host, metadata.path) }) {
+        is Lookup.Found -> admitToRoute(metadata, route.value, view, keysStale, random)
+        Lookup.Absent -> CallAdmission.Refused(NO_ROUTE)
+        Lookup.NotKnown -> CallAdmission.Refused(ROUTE_NOT_KNOWN)
+    }
+}
+
+private fun admitToRoute(
+    metadata: CallerMetadata,
+    route: Route,
+    view: CachedView<RoutingTable>,
+    keysStale: Boolean,
+    random: Double,
+): CallAdmission {
+    val table = view.content
+    val pool = route.choosePool(random)?.let { table.pools[it.pool] }
     return when {
-        table == null -> CallAdmission.Refused(NO_CONFIGURATION)
-        route == null -> CallAdmission.Refused(NO_ROUTE)
         pool == null -> CallAdmission.Refused(NO_POOL)
         route.public || !table.keysRequired -> CallAdmission.Accepted(route, pool, null)
         keysStale -> CallAdmission.Refused(KEYS_STALE)
-        else -> metadata.apiKey?.let(table::workspaceForKey)?.let { CallAdmission.Accepted(route, pool, it) }
-            ?: CallAdmission.Refused(UNKNOWN_KEY)
+        else -> when (val holder = view.find { metadata.apiKey?.let(it::workspaceForKey) }) {
+            is Lookup.Found -> CallAdmission.Accepted(route, pool, holder.value)
+            Lookup.Absent -> CallAdmission.Refused(UNKNOWN_KEY)
+            Lookup.NotKnown -> CallAdmission.Refused(KEY_NOT_KNOWN)
+        }
     }
 }
 
@@ -69,12 +87,9 @@
     "This router has not learned its configuration yet.",
     retryAfterMs = STARTUP_RETRY_MS,
 )
-private val KEYS_STALE = Refusal(
-    HttpResponseStatus.SERVICE_UNAVAILABLE,
-    "configuration_too_old",
-    "This router cannot tell whether the API key is still valid.",
-    retryAfterMs = CONFIGURATION_RETRY_MS,
-)
+private val KEYS_STALE = tooOld("This router cannot tell whether the API key is still valid.")
+private val KEY_NOT_KNOWN = tooOld("This router cannot tell whether the API key is valid by now.")
+private val ROUTE_NOT_KNOWN = tooOld("This router cannot tell whether a route leads there by now.")
 private val NO_POOL = Refusal(
     HttpResponseStatus.SERVICE_UNAVAILABLE,
     "unknown_pool",
@@ -83,3 +98,10 @@
 )
 private val UNKNOWN_KEY = Refusal(HttpResponseStatus.UNAUTHORIZED, "invalid_api_key", "The API key is not valid.")
 private val NO_ROUTE = Refusal(HttpResponseStatus.NOT_FOUND, "unknown_route", "No route leads there.")
+
+private fun tooOld(message: String) = Refusal(
+    HttpResponseStatus.SERVICE_UNAVAILABLE,
+    "configuration_too_old",
+    message,
+    retryAfterMs = CONFIGURATION_RETRY_MS,
+)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallHandler.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallHandler.kt
@@ -66,7 +66,7 @@
             SheddingDecision.ABOVE_FAIR_SHARE -> CallAdmission.Refused(ABOVE_FAIR_SHARE)
             SheddingDecision.ADMIT -> {
                 val random = ThreadLocalRandom.current().nextDouble()
-                admitCall(metadata, routingState.table, routingState.keysStale(), random)
+                admitCall(metadata, routingState.tableView, routingState.keysStale(), random)
             }
         }
     }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
@@ -164,7 +164,7 @@
     /** Whether the load balancer should route callers to this router. */
     private val ready: Boolean
         get() = !connections.draining &&
-            routingState.table != null &&
+            routingState.tableView != null &&
             routingState.endpointsLoaded &&
             !routingState.keysStale() &&
             rollouts?.started != false &&
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RoutingState.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RoutingState.kt
@@ -1,5 +1,6 @@
 package corneltrack.router.relay
 
+import corneltrack.policy.discovery.CachedView
 import corneltrack.policy.discovery.Clocks
 import corneltrack.policy.discovery.DirectoryChange
 import corneltrack.policy.discovery.EndpointDirectory
@@ -118,6 +119,10 @@
     var table: RoutingTable? = null
         private set
 
+    /** The routing table with its age; null until all records of the operators have been read once. */
+    val tableView: CachedView<RoutingTable>?
+        get() = operatorAgeMs()?.let { ageMs -> table?.let { CachedView(it, ageMs, bounds.maximumViewAgeMs) } }
+
     /** The routing table as log lines describe it. */
     val loggedTable: LoggedTable get() = LoggedTable(table?.version, operatorFollower.viewState())
 
