--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/streams/RecentVersions.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/streams/RecentVersions.kt
@@ -14,11 +14,14 @@
 public class RecentVersions {
     private val lastListedMs = HashMap<PoolId, HashMap<String, Long>>()
 
+    /** Records that [endpoint] is listed now. */
+    public fun observe(endpoint: KnownEndpoint, nowMs: Long) {
+        lastListedMs.getOrPut(endpoint.entry.endpoint.pool) { HashMap() }[endpoint.entry.version] = nowMs
+    }
+
     /** Records the [endpoints] that are listed now. */
     public fun observe(endpoints: Collection<KnownEndpoint>, nowMs: Long) {
-        endpoints.forEach { known ->
-            lastListedMs.getOrPut(known.entry.endpoint.pool) { HashMap() }[known.entry.version] = nowMs
-        }
+        endpoints.forEach { observe(it, nowMs) }
         lastListedMs.values.forEach { versions -> versions.values.removeIf { nowMs - it >= MAXIMUM_STREAM_AGE_MS } }
         lastListedMs.values.removeIf { it.isEmpty() }
     }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
@@ -23,6 +23,7 @@
 import corneltrack.router.relay.streams.StreamControl
 import corneltrack.router.relay.streams.StreamMetrics
 import corneltrack.router.relay.streams.StreamRecords
+import corneltrack.router.relay.streams.VersionView
 import corneltrack.router.wallClock
 import corneltrack.wire.ControlLimits
 import corneltrack.wire.ControlRequest
@@ -80,9 +81,13 @@
         storeReads::onStoreCall,
         storeReads::onRecordsTaken,
     )
-    private val routingCallbacks = RoutingCallbacks(::onTable) { pool, record ->
-        rollouts?.reader?.onOrder(pool, record) ?: logger.event("rollout_order_ignored") { field("pool", pool) }
-    }
+    private val routingCallbacks = RoutingCallbacks(
+        ::onTable,
+        onOrder = { pool, record ->
+            rollouts?.reader?.onOrder(pool, record) ?: logger.event("rollout_order_ignored") { field("pool", pool) }
+        },
+        onListed = { versionView.onListed(it, monotonicClock()) },
+    )
     private val routingState =
         RoutingState(source, settings.bounds, loop, clock, RegionRole({ peers.rank() }, sharing), routingCallbacks)
     private val rolloutInbox = RolloutInbox(
@@ -111,8 +116,9 @@
         settings.maximumIdleEndpointConnections,
         { unmatchedResponses.onUnrequestedData(it.id, monotonicClock()) },
     ) { _, _, _ -> }
+    private val versionView: VersionView = VersionView(routingState.directory) { routingState.endpointList }
     private val streams: StreamControl = StreamControl(
-        routingState.directory,
+        versionView,
         source.streams?.let { StreamRecords(settings.id, it, clock) },
         clock,
         { peers.known + 1 },
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RoutingState.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RoutingState.kt
@@ -4,7 +4,9 @@
 import corneltrack.policy.discovery.Clocks
 import corneltrack.policy.discovery.DirectoryChange
 import corneltrack.policy.discovery.EndpointDirectory
+import corneltrack.policy.discovery.KnownEndpoint
 import corneltrack.router.relay.rollout.RolloutRecords
+import corneltrack.router.relay.streams.ListCurrency
 import corneltrack.wire.event
 import corneltrack.world.DataCentreId
 import corneltrack.world.EndpointId
@@ -59,12 +61,17 @@
 )
 
 /**
- * What follows a record of the operators.
+ * What follows a record.
  *
  * @property onTable called with each newer routing table.
  * @property onOrder called with each record that orders a roll-out or, with a null value, ends it.
+ * @property onListed called with each endpoint whose record was read, also if a later one in the same read removes it.
  */
-internal class RoutingCallbacks(val onTable: (RoutingTable) -> Unit, val onOrder: (PoolId, KeyedRecord) -> Unit)
+internal class RoutingCallbacks(
+    val onTable: (RoutingTable) -> Unit,
+    val onOrder: (PoolId, KeyedRecord) -> Unit,
+    val onListed: (KnownEndpoint) -> Unit,
+)
 
 /**
  * Caches the routing table, the evacuated data centres and the endpoints from the store, and tracks their age.
@@ -129,6 +136,13 @@
     /** The data centres that receive no requests. */
     val evacuated: MutableSet<DataCentreId> = HashSet()
 
+    /** How far the list of endpoints can be relied on. */
+    val endpointList: ListCurrency
+        get() {
+            val current = (endpointFollower.ageMs ?: Long.MAX_VALUE) <= bounds.maximumViewAgeMs
+            return ListCurrency(current, endpointFollower.seenSince?.monotonicMs)
+        }
+
     /** Whether the endpoint topic has been read completely once. */
     val endpointsLoaded: Boolean get() = endpointFollower.asOf != null
 
@@ -195,6 +209,7 @@
         }
         val change = entry?.let { directory.onEntry(it, nowMs) }
             ?: directory.onRemoved(id, endpointFollower.storeRecoveredMs, nowMs)
+        directory.endpoints[id]?.let(callbacks.onListed)
         logChange(id, change)
         return change != DirectoryChange.NONE
     }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicCopy.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicCopy.kt
@@ -54,6 +54,13 @@
     /** The latest time as of which this copy is known to be complete; null before the first complete read. */
     var confirmation: Confirmation? = null
 
+    /**
+     * Since when every record has been handled, also those replaced or removed since; null before the first complete
+     * read. A load hides what came and went before it.
+     */
+    var seenSince: ClockReading? = null
+        private set
+
     /** The time of [confirmation]. */
     val asOf: ClockReading? get() = confirmation?.asOf
 
@@ -88,6 +95,7 @@
         val known = nextOffset > 0 && settledEnd == end && end > load.from
         journal.restart(settledEnd, if (known) reloadedBatch(load, end) else null, clock().monotonicMs)
         nextOffset = end
+        seenSince = load.startedAt
         confirmation = Confirmation(load.startedAt, ConfirmationSource.READ)
     }
 
@@ -111,7 +119,10 @@
         val nowMs = clock().monotonicMs
         val loaded = batch.latestBase != null
         val records = batch.records.map { it.toKeyedRecord() }.filter { it.offset >= nextOffset }
-        if (loaded) journal.restart(batch.end, batch, nowMs)
+        if (loaded) {
+            seenSince = clock()
+            journal.restart(batch.end, batch, nowMs)
+        }
         records.forEach {
             deduplicator.accept(it)
             journal.add(it, nowMs)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicFollower.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicFollower.kt
@@ -101,6 +101,9 @@
     /** The time of [confirmation]. */
     val asOf: ClockReading? get() = copy.asOf
 
+    /** Since when every record has been handled, also those replaced or removed since; see [TopicCopy.seenSince]. */
+    val seenSince: ClockReading? get() = copy.seenSince
+
     /** The time since [asOf], in ms; null before the first complete read. */
     val ageMs: Long? get() = asOf?.let { clock().since(it) }
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/streams/StreamControl.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/streams/StreamControl.kt
@@ -1,8 +1,6 @@
 package corneltrack.router.relay.streams
 
 import corneltrack.policy.discovery.Clocks
-import corneltrack.policy.discovery.EndpointDirectory
-import corneltrack.policy.streams.RecentVersions
 import corneltrack.policy.streams.StreamKey
 import corneltrack.policy.streams.StreamOrigin
 import corneltrack.policy.streams.StreamOrigins
@@ -33,7 +31,7 @@
     /** Only those of [version], which began it. */
     data class At(val version: String) : StreamContinuation("known_version")
 
-    /** All, since the pool has had a single version for as long as a stream can last. */
+    /** All, since the pool is known to have had a single version for as long as a stream can last. */
     data object Anywhere : StreamContinuation("single_version")
 
     /** None that is known: any could be of another version than the one that began it. */
@@ -52,14 +50,13 @@
  * @param onTakenUp called with each decision.
  */
 internal class StreamControl(
-    private val directory: EndpointDirectory,
+    private val versions: VersionView,
     private val records: StreamRecords?,
     private val clock: Clocks,
     private val routers: () -> Int,
     private val onTakenUp: (StreamContinuation) -> Unit,
 ) {
     private val streams = StreamOrigins()
-    private val versions = RecentVersions()
 
     /** Reads what routers have recorded, and begins to record the streams of this router. */
     fun start(loop: EventLoop) {
@@ -86,15 +83,16 @@
         val mixed = mixedPools()
         val shared = records ?: return
         shared.expire()
-        if (shared.loaded) shared.write(streams, mixed) else load()
+        if (!shared.covers(versions.neededSinceMs(clock().monotonicMs))) load()
+        shared.write(streams, mixed)
     }
 
     /** Returns until when streams of several versions can be taken up in each pool, in ms since the epoch. */
     private fun mixedPools(): Map<PoolId, Long> {
         val now = clock()
-        versions.observe(directory.endpoints.values, now.monotonicMs)
-        val mixed = versions.mixedPools(now.monotonicMs)
-        val seen = mixed.mapValues { (_, leftMs) -> (now.wallClockMs + leftMs).roundedUp() }
+        val seen = versions.mixedPools(now.monotonicMs).mapValues { (_, leftMs) ->
+            (now.wallClockMs + leftMs).roundedUp()
+        }
         val read = records?.mixedPools().orEmpty()
         return (seen.keys + read.keys).associateWith { maxOf(seen[it] ?: 0, read[it] ?: 0) }
     }
@@ -128,9 +126,11 @@
 
     private fun decide(stream: StreamKey?, pool: PoolId): StreamContinuation {
         val origin = stream?.let { streams[it] ?: records?.origins?.get(it) }
+        // A version that this router has not seen may have begun the stream.
+        val seenAll = versions.current && records?.covers(versions.neededSinceMs(clock().monotonicMs)) != false
         return when {
             origin != null -> StreamContinuation.At(origin.version)
-            records?.loaded != false && pool !in mixedPools() -> StreamContinuation.Anywhere
+            seenAll && pool !in mixedPools() -> StreamContinuation.Anywhere
             else -> StreamContinuation.Unknown
         }
     }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/streams/StreamRecords.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/streams/StreamRecords.kt
@@ -33,9 +33,14 @@
     /** The streams that an earlier process of this router has recorded; a new record must keep them. */
     private val inherited = StreamOrigins()
 
+    /** Since when the last complete read ran, in ms of the monotonic clock; null before the first one. */
+    private var readSinceMs: Long? = null
+
     /** Whether all records have been read once. */
-    var loaded = false
-        private set
+    val loaded: Boolean get() = readSinceMs != null
+
+    /** Whether all records have been read since [sinceMs], in ms of the monotonic clock, or at all if it is null. */
+    fun covers(sinceMs: Long?): Boolean = readSinceMs.let { it != null && it >= (sinceMs ?: it) }
 
     /** Returns until when streams of several versions can be taken up in each pool, as last read. */
     fun mixedPools(): Map<PoolId, Long> = mixedUntilMs.filterValues { it > clock().wallClockMs }
@@ -53,21 +58,21 @@
         waiting += onDone
         if (reading) return
         reading = true
-        readPage(null)
+        readPage(null, clock().monotonicMs)
     }
 
-    private fun readPage(after: String?) {
+    private fun readPage(after: String?, startedMs: Long) {
         topic.newest(after, READ_TIMEOUT_MS) { response ->
             val page = response as? TopicResponse.Newest
             page?.records?.forEach(::onRecord)
             val next = page?.next
-            if (next != null) readPage(next) else onRead(complete = page != null)
+            if (next != null) readPage(next, startedMs) else onRead(startedMs.takeIf { page != null })
         }
     }
 
-    private fun onRead(complete: Boolean) {
+    private fun onRead(completeSinceMs: Long?) {
         reading = false
-        if (complete) loaded = true
+        if (completeSinceMs != null) readSinceMs = completeSinceMs
         val callbacks = waiting.toList()
         waiting.clear()
         callbacks.forEach { it() }
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/StreamVersionTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/StreamVersionTest.kt
@@ -11,7 +11,7 @@
 
 /** Checks that no stream holds events of two versions of an endpoint's software. */
 class StreamVersionTest {
-    private val fixture = RelayFixture(timeoutMs = 60_000)
+    private val fixture = RelayFixture(RelayBounds(maximumViewAgeMs = 500), timeoutMs = 60_000)
 
     @AfterTest
     fun stop() = fixture.close()
@@ -77,6 +77,25 @@
         assertTrue(endpoints.all { it.resumable.isEmpty() })
     }
 
+    // Guards against streams joined from two versions at a router that was out of step while the second one joined.
+    @Test
+    fun `a router that cannot read the store lets no stream go on that it does not know`() {
+        val old = fixture.versionedEndpoint("a", "old", script = ::breakOff)
+        fixture.start()
+        fixture.setStoreUnavailable(true)
+        val refused = { fixture.call("/added/x").startsWith("HTTP/1.1 503 ") }
+        await("the router to be out of step", refused)
+        val new = fixture.versionedEndpoint("b", "new", script = ::breakOff)
+
+        val outOfStep = fixture.call("/resumed/x", id = "first", headers = takingUp("elsewhere"))
+        fixture.setStoreUnavailable(false)
+        fixture.awaitEndpointsRead()
+        val inStep = fixture.call("/resumed/x", id = "second", headers = takingUp("elsewhere"))
+
+        listOf(outOfStep, inStep).forEach { assertTrue(it.startsWith("HTTP/1.1 503 "), "found $it") }
+        assertTrue((old.resumable + new.resumable).isEmpty())
+    }
+
     private fun takingUp(stream: String) = "${GENERATION}resumes: $stream\r\nlast-event: 2\r\n"
 
     private fun fillRetryBudget() = repeat(10) { fixture.call("/stream/x", headers = GENERATION) }
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/streams/StreamControlTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/streams/StreamControlTest.kt
@@ -32,6 +32,8 @@
     private var nowMs = 1_000_000L
     private var storeCalls = 0
     private var storeDown = false
+    private val views = HashMap<String, VersionView>()
+    private var list = ListCurrency(current = true, seenSinceMs = nowMs)
 
     private val topic = KeyedTopic(
         newest = { _, _, onResponse ->
@@ -115,6 +117,47 @@
         assertEquals(StreamContinuation.At("old"), second.takeUp(STREAM))
     }
 
+    // Guards against streams joined from two versions at a router that was out of step while the second one joined.
+    @Test
+    fun `a router whose list of endpoints is not current lets unknown streams go on nowhere`() {
+        list("a" to "old")
+        val router = router("first")
+        router.begin(STREAM, "old")
+        pass(router)
+        list = list.copy(current = false)
+
+        assertEquals(StreamContinuation.Unknown, router.takeUp(StreamKey(8)))
+        assertEquals(StreamContinuation.At("old"), router.takeUp(STREAM))
+        list = list.copy(current = true)
+        assertEquals(StreamContinuation.Anywhere, router.takeUp(StreamKey(8)))
+    }
+
+    // Guards against a version that came and went while a router could not see it.
+    @Test
+    fun `a router that had to load the list again goes by what others have seen since`() {
+        list("a" to "old")
+        val router = router("first")
+        nowMs += 2 * MAXIMUM_STREAM_AGE_MS
+        pass(router)
+        store["second"] = StreamTable.of(emptyMap(), mapOf(POOL to nowMs + MAXIMUM_STREAM_AGE_MS)).encode()
+        list = ListCurrency(current = true, seenSinceMs = nowMs)
+
+        assertEquals(StreamContinuation.Unknown, router.takeUp(STREAM))
+        storeDown = true
+        list = list.copy(seenSinceMs = nowMs + 1)
+        assertEquals(StreamContinuation.Unknown, router.takeUp(STREAM))
+    }
+
+    @Test
+    fun `a version that came and went between two updates counts`() {
+        list("a" to "old")
+        val router = router("first")
+        val endpoint = directory.endpoints.getValue(EndpointId("a"))
+        views.getValue("first").onListed(endpoint.copy(entry = endpoint.entry.copy(version = "new")), nowMs)
+
+        assertEquals(StreamContinuation.Unknown, router.takeUp(STREAM))
+    }
+
     @Test
     fun `with a single version streams go on anywhere without the store`() {
         list("a" to "old", "b" to "old")
@@ -164,8 +207,9 @@
 
     private fun router(name: String): StreamControl {
         val clock = { ClockReading(nowMs, nowMs) }
-        return StreamControl(directory, StreamRecords(InstanceId(name), topic, clock), clock, { 1 }, { })
-            .also { it.load() }
+        val view = VersionView(directory) { list }
+        views[name] = view
+        return StreamControl(view, StreamRecords(InstanceId(name), topic, clock), clock, { 1 }, { }).also { it.load() }
     }
 
     private fun StreamControl.begin(stream: StreamKey, version: String) =
