Let a router that has just started vouch for no removal before its first load

A router takes from a peer's watermark that it has read all, if the peer's last change is one that it has. A peer that has just started finds no trace of what was removed before, an evacuation taken back or an endpoint that is gone, and so vouched for copies that still held it, until the next change of the topic. The end of its first load counts as a change now. A later load finds what the router itself knew before, so that it needs no such mark.

Evidence: TopicFollowerTest.a removal that a restarted polling router cannot know of is read failed before (the last record stayed the listing) and passes. StoreCallsTest passes unchanged, with the same number of reads in each scenario.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicCopy.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicCopy.kt
@@ -64,8 +64,11 @@
     /** The time of [confirmation]. */
     val asOf: ClockReading? get() = confirmation?.asOf
 
-    /** The offset after the last record that changed the state of this router. */
-    val lastChangeEnd: Long get() = deduplicator.lastChangeEnd
+    /** The end of the topic at the first load, before which keys may have been removed that this router never knew. */
+    private var firstLoadEnd: Long? = null
+
+    /** The offset after the last record that changed the state of this router, or of a peer that knew earlier ones. */
+    val lastChangeEnd: Long get() = maxOf(deduplicator.lastChangeEnd, firstLoadEnd ?: 0)
 
     /**
      * The offset after the last record that may change the state of a peer. At least the end of the last load, which
@@ -92,6 +95,7 @@
         val end = checkNotNull(load.resumeOffset) { "a load without a page" }
         load.changes += deduplicator.retain(load.keys, end)
         settledEnd = maxOf(end, load.lastEnd)
+        firstLoadEnd = firstLoadEnd ?: end
         val known = nextOffset > 0 && settledEnd == end && end > load.from
         journal.restart(settledEnd, if (known) reloadedBatch(load, end) else null, clock().monotonicMs)
         nextOffset = end
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/TopicFollowerTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/TopicFollowerTest.kt
@@ -25,7 +25,7 @@
     private val applied = ArrayList<String>()
 
     /** The polling router, whose watermarks [advance] passes on to [follower] while [pollerAlive]. */
-    private val poller = follower { 0 }
+    private var poller = follower { 0 }
 
     /** The router under test. */
     private val follower = follower { rank }
@@ -208,6 +208,21 @@
         assertEquals(listOf("first", "second", "ready", "leaving"), applied)
     }
 
+    // Guards against a removal that a router never learns of since its peer, which has just started, never knew the key.
+    @Test
+    fun `a removal that a restarted polling router cannot know of is read`() {
+        startBoth()
+        pollerAlive = false
+        store.remove("endpoint")
+        poller = follower { 0 }
+        poller.start()
+        pollerAlive = true
+
+        advance(POLL_DELAY_MS + WATERMARK_INTERVAL_MS + 50)
+
+        assertEquals("removed", applied.last())
+    }
+
     private fun startBoth() {
         store.put("endpoint", "ready")
         poller.start()
@@ -261,6 +276,10 @@
         records += KeyedRecord(key, value.toByteArray(), records.size.toLong())
     }
 
+    fun remove(key: String) {
+        records += KeyedRecord(key, null, records.size.toLong())
+    }
+
     fun topic(caller: () -> TopicFollower) = KeyedTopic(
         newest = { _, _, onResponse -> respond(caller, onResponse) { newest() } },
         read = { from, _, _, onResponse -> respond(caller, onResponse) { recordsFrom(from) } },
@@ -270,7 +289,8 @@
     private fun newest(): TopicResponse {
         fullLoads++
         strayPage?.let { return it }
-        return TopicResponse.Newest(records.groupBy { it.key }.map { it.value.last() }, null, records.size.toLong())
+        val newest = records.groupBy { it.key }.map { it.value.last() }.filter { it.value != null }
+        return TopicResponse.Newest(newest, null, records.size.toLong())
     }
 
     private fun recordsFrom(from: Long): TopicResponse {
