Repeat a failed read of a topic without waiting for records

A read that failed was repeated as a long poll, so that one on a connection that stays silent took the wait (1.5 s) in addition to the timeout (2 s) and the pause before the next (0.8 s), longer than the 4 s after which a router counts as in touch again. The repeated read asks for what there is now.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicFollower.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicFollower.kt
@@ -200,9 +200,10 @@
             copy.confirmation = Confirmation(outcome.asOf, ConfirmationSource.READ)
             onUpToDate()
         }
-        is ReadOutcome.RetryDue -> {
+        ReadOutcome.RetryDue -> {
             val upToDate = sharesRecords && rank() != 0 && missed.isEmpty && !isOverdue
-            if (upToDate) scheduleNextRead() else reader.read(outcome.waitMs, StoreCallCause.RETRY)
+            // Not a long poll, whose time a dead connection would take in addition to the timeout.
+            if (upToDate) scheduleNextRead() else reader.read(0, StoreCallCause.RETRY)
         }
     }
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicReader.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicReader.kt
@@ -19,7 +19,7 @@
     class ReachedEnd(val asOf: ClockReading) : ReadOutcome
 
     /** A read failed, and the delay before it may be repeated is over. */
-    class RetryDue(val waitMs: Long) : ReadOutcome
+    data object RetryDue : ReadOutcome
 }
 
 /**
@@ -92,7 +92,7 @@
                     availability.onResponse()
                     load(StoreCallCause.RELOAD)
                 }
-                else -> onFailure(response) { onOutcome(ReadOutcome.RetryDue(waitMs)) }
+                else -> onFailure(response) { onOutcome(ReadOutcome.RetryDue) }
             }
         }
     }
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/TopicFollowerTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/TopicFollowerTest.kt
@@ -208,7 +208,7 @@
         assertEquals(listOf("first", "second", "ready", "leaving"), applied)
     }
 
-    // Guards against a removal that a router never learns of since its peer, which has just started, never knew the key.
+    // Guards against a removal that a router never learns of since its restarted peer never knew the key.
     @Test
     fun `a removal that a restarted polling router cannot know of is read`() {
         startBoth()
