--- a/corneltrack-policy/src/test/kotlin/corneltrack/policy/discovery/SuspensionDetectorTest.kt
+++ b/corneltrack-policy/src/test/kotlin/corneltrack/policy/discovery/SuspensionDetectorTest.kt
@@ -23,4 +23,13 @@
 
         assertFalse(detector.isSettled(ClockReading(1_100, 48_000)))
     }
+
+    // Guards against messages that waited through a pause of the process and are taken for new ones.
+    @Test
+    fun `after a pause of the process, in which both clocks advance, they count as settled after a while`() {
+        assertTrue(detector.isSettled(ClockReading(1_000, 50_000)))
+
+        assertFalse(detector.isSettled(ClockReading(6_000, 55_000)))
+        assertTrue(detector.isSettled(ClockReading(7_100, 56_100)))
+    }
 }
