Take how current a topic is from the one function that says it

Found in reading the change again: RoutingState built the state of a follower beside viewState(). What operators see stays. The linter, StaleConfigurationTest and StreamVersionTest pass.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RoutingState.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RoutingState.kt
@@ -113,12 +113,8 @@
     val followers: List<TopicFollower> get() = listOf(operatorFollower, endpointFollower)
 
     /** Whether the copies of both topics are recent enough to say what the store lacks. */
-    val currency: List<ViewCurrency> = followers.map { follower ->
-        ViewCurrency(
-            follower.name,
-            bounds.maximumViewAgeMs
-        ) { ViewState(follower.ageMs, follower.confirmation?.source) }
-    }
+    val currency: List<ViewCurrency> =
+        followers.map { ViewCurrency(it.name, bounds.maximumViewAgeMs, it::viewState) }
 
     val directory = EndpointDirectory(bounds.relistingTimeoutMs)
 
