--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/ViewCurrency.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/ViewCurrency.kt
@@ -45,16 +45,17 @@
         doubtedAgeMs = ageMs.takeIf { doubted }
         if (doubted && before == null) {
             onDoubt(name)
-            logChange("view_in_doubt", Level.WARN, now)
+            logger.event("view_in_doubt", Level.WARN) { describe(now) }
         } else if (!doubted && before != null) {
-            logChange("view_current", Level.INFO, now, before)
+            logger.event("view_current") {
+                describe(now)
+                field("oldest_ms", before)
+            }
         }
     }
 
-    private fun logChange(event: String, level: Level, now: ViewState, doubtedAgeMs: Long? = null) =
-        logger.event(event, level) {
-            field("topic", name)
-            now.addTo(this, "age_ms")
-            doubtedAgeMs?.let { field("oldest_ms", it) }
-        }
+    private fun LogEvent.describe(now: ViewState) {
+        field("topic", name)
+        now.addTo(this, "age_ms")
+    }
 }
