Ask for the age of the table once a request, and not for each request that is placed

The line of each placed request took only the version of what described the table, whose age was reckoned with it, two readings of the clocks each; at admission the age was reckoned for the route and again for the keys.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallHandler.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/CallHandler.kt
@@ -66,7 +66,8 @@
             SheddingDecision.ABOVE_FAIR_SHARE -> CallAdmission.Refused(ABOVE_FAIR_SHARE)
             SheddingDecision.ADMIT -> {
                 val random = ThreadLocalRandom.current().nextDouble()
-                admitCall(metadata, routingState.tableView, routingState.keysStale(), random)
+                val view = routingState.tableView
+                admitCall(metadata, view, routingState.keysStale(view?.ageMs), random)
             }
         }
     }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayEventLog.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayEventLog.kt
@@ -20,21 +20,18 @@
 private const val LOG_WINDOW_MS = 1_000L
 private val logger = LogManager.getLogger("corneltrack.router.relay.RelayJournal")
 
-/**
- * What log lines say of the routing table.
- *
- * @property version null before the first table.
- * @property state how current the table is.
- */
-internal data class LoggedTable(val version: Long?, val state: ViewState)
-
 /**
  * Logs one line for each decision about a request.
  *
- * @param table describes the current routing table.
+ * @param tableVersion returns the version of the current routing table, or null before the first one.
+ * @param tableState returns how current that table is.
  * @param endpointAgeMs returns the age of the cached endpoint records in ms, or null before they are known.
  */
-internal class RelayEventLog(private val table: () -> LoggedTable, private val endpointAgeMs: () -> Long?) {
+internal class RelayEventLog(
+    private val tableVersion: () -> Long?,
+    private val tableState: () -> ViewState,
+    private val endpointAgeMs: () -> Long?,
+) {
     private val refusalsLogged = SlidingWindowLimiter(LOG_WINDOW_MS)
 
     /** Logs a refusal, unless many have been logged within a second; `router_load` counts them all. */
@@ -62,9 +59,8 @@
         field("status", refusal.status.code())
         field("reason", refusal.code)
         field("lag_ms", lagMs)
-        val known = table()
-        field("table", known.version)
-        known.state.addTo(this, "table_age_ms")
+        field("table", tableVersion())
+        tableState().addTo(this, "table_age_ms")
     }
 
     fun placed(call: RelayedCall, target: Target, nowMs: Long) = logger.event("request_placed") {
@@ -83,7 +79,7 @@
         field("stream_version", call.streamVersion)
         field("waited_ms", nowMs - call.times.arrivedMs)
         shareFields(call)
-        field("table", table().version)
+        field("table", tableVersion())
         field("belief_age_ms", endpointAgeMs())
     }
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
@@ -135,7 +135,7 @@
             clock,
             EndpointSelection(::hasIdleConnection, versions) { peers.fleetPosition() },
         ),
-        RelayEventLog({ routingState.loggedTable }, routingState::endpointAgeMs),
+        RelayEventLog({ routingState.table?.version }, { routingState.tableState }, routingState::endpointAgeMs),
         metrics,
         unmatchedResponses,
         suspects,
@@ -172,7 +172,7 @@
         get() = !connections.draining &&
             routingState.tableView != null &&
             routingState.endpointsLoaded &&
-            !routingState.keysStale() &&
+            !routingState.keysStale(routingState.operatorAgeMs()) &&
             rollouts?.started != false &&
             rotation.inRotation
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RoutingState.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RoutingState.kt
@@ -126,8 +126,8 @@
     val tableView: CachedView<RoutingTable>?
         get() = operatorAgeMs()?.let { ageMs -> table?.let { CachedView(it, ageMs, bounds.maximumViewAgeMs) } }
 
-    /** The routing table as log lines describe it. */
-    val loggedTable: LoggedTable get() = LoggedTable(table?.version, operatorFollower.viewState())
+    /** How current the routing table is. */
+    val tableState: ViewState get() = operatorFollower.viewState()
 
     /** The data centres that receive no requests. */
     val evacuated: MutableSet<DataCentreId> = HashSet()
@@ -154,8 +154,13 @@
     /** Returns the age of the cached endpoint records, in ms, or null before the first complete read. */
     fun endpointAgeMs(): Long? = endpointFollower.ageMs
 
-    /** Whether API keys must be refused because one may have been revoked without this router knowing. */
-    fun keysStale(): Boolean = bounds.failClosed && (operatorAgeMs() ?: Long.MAX_VALUE) > bounds.maximumKeyAgeMs
+    /**
+     * Whether API keys must be refused because one may have been revoked without this router knowing.
+     *
+     * @param ageMs the age of the operator records, in ms; null before the first complete read.
+     */
+    fun keysStale(ageMs: Long?): Boolean =
+        bounds.failClosed && (ageMs ?: Long.MAX_VALUE) > bounds.maximumKeyAgeMs
 
     /** Removes the endpoints whose grace period after an outage of the store is over. */
     fun expire() = directory.expire(clock().monotonicMs).forEach { logChange(it, DirectoryChange.REMOVED) }
