--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
@@ -170,7 +170,7 @@
         if (!peers.admits(peer, bytes)) return
         peers.onDigest(peer, digest.router, nowMs)
         digest.suspicions.forEach(onSuspicion)
-        watermarks.onPeer(digest.watermarks, digest.records?.takeIf { peers.isInRegion(peer) })
+        watermarks.onPeer(digest.sender, digest.watermarks, digest.records?.takeIf { peers.isInRegion(peer) })
         shared.partSuspects.onPeer(digest)
         if (digest.rollouts.isNotEmpty()) shared.rollouts.onDigest(peer, digest.rollouts)
         if (digest.carriesLoad) peerLoads.onDigest(peer, digest, nowMs)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RecordDeduplicator.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RecordDeduplicator.kt
@@ -27,11 +27,20 @@
      */
     fun accept(record: KeyedRecord): Boolean {
         val last = offsets[record.key]
-        if (last != null && record.offset <= last) return false
+        if (last != null && record.offset <= last) {
+            if (record.offset < last) logPassedOver(record, last)
+            return false
+        }
         if (record.value == null) offsets.remove(record.key) else offsets[record.key] = record.offset
         return handle(record).also { if (it) lastChangeEnd = maxOf(lastChangeEnd, record.offset + 1) }
     }
 
+    private fun logPassedOver(record: KeyedRecord, last: Long) = logger.event("record_passed_over") {
+        field("key", record.key)
+        field("offset", record.offset)
+        field("known_offset", last)
+    }
+
     /** A record that its handler fails on must not end the following of all others. */
     private fun handle(record: KeyedRecord): Boolean = runCatching { onRecord(record) }.getOrElse { fault ->
         logger.event("record_failed", Level.ERROR) {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayEventLog.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayEventLog.kt
@@ -80,6 +80,7 @@
         field("waited_ms", nowMs - call.times.arrivedMs)
         shareFields(call)
         field("table", tableVersion())
+        tableState().addTo(this, "table_age_ms")
         field("belief_age_ms", endpointAgeMs())
     }
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RoutingState.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RoutingState.kt
@@ -182,7 +182,13 @@
             logger.event("configuration_unreadable", Level.ERROR) { field("bytes", value.size) }
             return
         }
-        if (current != null && decoded.version <= current.version) return
+        if (current != null && decoded.version <= current.version) {
+            logger.event("configuration_not_taken") {
+                field("version", decoded.version)
+                field("table", current.version)
+            }
+            return
+        }
         table = decoded
         logger.event("configuration_applied") {
             field("version", decoded.version)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicCopy.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicCopy.kt
@@ -100,7 +100,7 @@
         journal.restart(settledEnd, if (known) reloadedBatch(load, end) else null, clock().monotonicMs)
         nextOffset = end
         seenSince = load.startedAt
-        confirmation = Confirmation(load.startedAt, ConfirmationSource.READ)
+        confirmation = Confirmation(load.startedAt, ConfirmationSource.LOAD, end)
     }
 
     private fun reloadedBatch(load: TopicLoad, end: Long): RecordBatch {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicFollower.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicFollower.kt
@@ -143,8 +143,9 @@
      *
      * @param records what the peer sent with it, or null if the peer or this router does not share records. A router
      *   that misses a change then waits for it a while before it reads.
+     * @param peer the name of the peer.
      */
-    fun onWatermark(watermark: TopicWatermark, records: SharedRecords? = null) {
+    fun onWatermark(watermark: TopicWatermark, records: SharedRecords? = null, peer: String? = null) {
         val current = asOf ?: return
         val now = clock()
         val peerAsOf = watermark.asOf(now)
@@ -154,7 +155,7 @@
             watermark.lastChangeEnd > copy.nextOffset -> onMissedChange(watermark, records != null)
             // The peer has read the topic more recently, so it is the one that polls.
             now.since(peerAsOf) < now.since(current) -> {
-                copy.confirmation = Confirmation(peerAsOf, ConfirmationSource.PEER)
+                copy.confirmation = Confirmation(peerAsOf, ConfirmationSource.PEER, copy.nextOffset, peer)
                 polling = false
             }
         }
@@ -197,7 +198,7 @@
             if (upToDate) onUpToDate() else reader.read(timing.waitMs, StoreCallCause.FOLLOW_UP)
         }
         is ReadOutcome.ReachedEnd -> {
-            copy.confirmation = Confirmation(outcome.asOf, ConfirmationSource.READ)
+            copy.confirmation = Confirmation(outcome.asOf, outcome.source, copy.nextOffset)
             onUpToDate()
         }
         ReadOutcome.RetryDue -> {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicReader.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicReader.kt
@@ -2,6 +2,7 @@
 
 import corneltrack.policy.discovery.ClockReading
 import corneltrack.policy.discovery.Clocks
+import corneltrack.policy.discovery.ConfirmationSource
 import corneltrack.wire.event
 import io.netty.channel.EventLoop
 import org.apache.logging.log4j.LogManager
@@ -15,8 +16,8 @@
     /** All records have been loaded. */
     class Loaded(val load: TopicLoad) : ReadOutcome
 
-    /** The records up to the end of the topic have been read; none was newer at [asOf]. */
-    class ReachedEnd(val asOf: ClockReading) : ReadOutcome
+    /** The records up to the end of the topic have been read; none was newer at [asOf], as [source] shows. */
+    class ReachedEnd(val asOf: ClockReading, val source: ConfirmationSource) : ReadOutcome
 
     /** A read failed, and the delay before it may be repeated is over. */
     data object RetryDue : ReadOutcome
@@ -106,7 +107,8 @@
         }
         // An empty response to a long poll shows that there was no record until the end of the wait.
         val waitedMs = if (page.records.isEmpty()) minOf(waitMs, clock().monotonicMs - sentAt.monotonicMs) else 0
-        onOutcome(ReadOutcome.ReachedEnd(sentAt.plus(waitedMs)))
+        val source = if (waitedMs > 0) ConfirmationSource.LONG_POLL else ConfirmationSource.READ
+        onOutcome(ReadOutcome.ReachedEnd(sentAt.plus(waitedMs), source))
     }
 
     private fun onFailure(response: TopicResponse, retry: () -> Unit) {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/ViewCurrency.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/ViewCurrency.kt
@@ -1,6 +1,6 @@
 package corneltrack.router.relay
 
-import corneltrack.policy.discovery.ConfirmationSource
+import corneltrack.policy.discovery.Confirmation
 import corneltrack.wire.LogEvent
 import corneltrack.wire.event
 import org.apache.logging.log4j.Level
@@ -12,18 +12,20 @@
  * How current the copy of a topic is.
  *
  * @property ageMs the time since the copy is known to have been complete, in ms; null before the first complete read.
- * @property source how that is known.
+ * @property confirmation how that is known; null before the first complete read.
  */
-internal data class ViewState(val ageMs: Long?, val source: ConfirmationSource?) {
+internal data class ViewState(val ageMs: Long?, val confirmation: Confirmation?) {
     /** Adds this state to a log line, with the age as [ageField]. */
     fun addTo(line: LogEvent, ageField: String) {
         line.field(ageField, ageMs)
-        line.field("confirmed_by", source?.name?.lowercase())
+        line.field("confirmed_by", confirmation?.source?.name?.lowercase())
+        line.field("confirmed_peer", confirmation?.peer)
+        line.field("confirmed_offset", confirmation?.offset)
     }
 }
 
 /** Returns how current the copy of this topic is. */
-internal fun TopicFollower.viewState(): ViewState = ViewState(ageMs, confirmation?.source)
+internal fun TopicFollower.viewState(): ViewState = ViewState(ageMs, confirmation)
 
 /**
  * Logs when the copy of a topic becomes too old to say what the store lacks, and when it is current again.
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/WatermarkExchange.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/WatermarkExchange.kt
@@ -45,14 +45,14 @@
     }
 
     /**
-     * Applies a peer's [watermarks], by topic name.
+     * Applies the [watermarks] of [peer], by topic name.
      *
      * @param records what the peer sent with them, or null if it shares no records or is not listed in the region.
      */
-    fun onPeer(watermarks: Map<String, TopicWatermark>, records: SharedRecords? = null) {
+    fun onPeer(peer: String, watermarks: Map<String, TopicWatermark>, records: SharedRecords? = null) {
         if (watermarks.isEmpty() || !suspensions.isSettled(clock())) return
         followers().forEach { topic ->
-            watermarks[topic.name]?.let { topic.onWatermark(it, records.takeIf { topic.sharesRecords }) }
+            watermarks[topic.name]?.let { topic.onWatermark(it, records.takeIf { topic.sharesRecords }, peer) }
         }
     }
 }
--- a/corneltrack-wire/src/main/kotlin/corneltrack/wire/ControlClient.kt
+++ b/corneltrack-wire/src/main/kotlin/corneltrack/wire/ControlClient.kt
@@ -224,7 +224,8 @@
         val content = Content(ByteBufUtil.getBytes(message.content()))
         val entityTag = message.headers().get(HttpHeaderNames.ETAG)
         context.pipeline().remove(this)
-        val response = ControlResult.Responded(message.status().code(), content, entityTag)
+        val headers = message.headers().groupBy({ it.key.lowercase() }, { it.value })
+        val response = ControlResult.Responded(message.status().code(), content, entityTag, headers)
         onResponse(response, HttpUtil.isKeepAlive(message))
     }
 
--- a/corneltrack-wire/src/main/kotlin/corneltrack/wire/ControlMessages.kt
+++ b/corneltrack-wire/src/main/kotlin/corneltrack/wire/ControlMessages.kt
@@ -47,12 +47,14 @@
  *
  * @property contentType the media type of [content], or null to send no content type.
  * @property entityTag the entity tag of [content], or null if it has none.
+ * @property headers further headers by name.
  */
 public data class ControlResponse(
     val status: HttpResponseStatus,
     val content: Content = Content.EMPTY,
     val contentType: String? = null,
     val entityTag: String? = null,
+    val headers: Map<String, String> = emptyMap(),
 ) {
     /** Creates a response with a text [body], by default JSON. */
     public constructor(status: HttpResponseStatus, body: String, contentType: String = JSON_TYPE) :
@@ -65,11 +67,13 @@
      * A response arrived, with any status.
      *
      * @property entityTag the entity tag of [content], or null if it has none.
+     * @property headers the values of the headers by name, in lower case.
      */
     public data class Responded(
         val status: Int,
         val content: Content,
         val entityTag: String? = null,
+        val headers: Map<String, List<String>> = emptyMap(),
     ) : ControlResult {
         /** The body as text. */
         val body: String get() = content.text
--- a/corneltrack-wire/src/main/kotlin/corneltrack/wire/ControlServer.kt
+++ b/corneltrack-wire/src/main/kotlin/corneltrack/wire/ControlServer.kt
@@ -152,6 +152,7 @@
     response.contentType?.let { message.headers().set(HttpHeaderNames.CONTENT_TYPE, it) }
     call?.let { message.headers().set(CALL_HEADER, it) }
     response.entityTag?.let { message.headers().set(HttpHeaderNames.ETAG, it) }
+    response.headers.forEach { (name, value) -> message.headers().set(name, value) }
     val written = writeAndFlush(message)
     if (!keepAlive) {
         written.addListener(ChannelFutureListener.CLOSE)
