--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/discovery/Confirmation.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/discovery/Confirmation.kt
@@ -19,12 +19,12 @@
  * States that a copy of the store's records has all that there were at [asOf].
  *
  * @property asOf when the store had no record that the copy lacks.
- * @property offset the offset after the last record that the copy had then.
+ * @property end the position after the last record that the copy had then.
  * @property peer the peer that said so, or null.
  */
 public data class Confirmation(
     val asOf: ClockReading,
     val source: ConfirmationSource,
-    val offset: Long,
+    val end: TopicPosition,
     val peer: String? = null,
 )
--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/discovery/TopicWatermark.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/discovery/TopicWatermark.kt
@@ -20,6 +20,7 @@
  * @property asOfWallClockMs the time up to which the router has read all records, in ms since the epoch.
  * @property storeRecoveredAgeMs the time since the store last became available again to the router, in ms; null if it
  *   was always available.
+ * @property era the era of the offsets; [StoreEra.UNSTATED] in watermarks of routers that do not report it.
  */
 @Serializable
 public data class TopicWatermark(
@@ -28,7 +29,14 @@
     val ageMs: Long,
     val asOfWallClockMs: Long,
     val storeRecoveredAgeMs: Long? = null,
+    val era: StoreEra = StoreEra.UNSTATED,
 ) {
+    /** The position of the next record to read. */
+    val next: TopicPosition get() = TopicPosition(era, nextOffset)
+
+    /** The position after the last record that changed the state. */
+    val lastChange: TopicPosition get() = TopicPosition(era, lastChangeEnd)
+
     /**
      * Returns the time up to which a router that has read up to [lastChangeEnd] knows all records, if this watermark
      * arrives at [now].
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/ChangeJournal.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/ChangeJournal.kt
@@ -1,5 +1,7 @@
 package corneltrack.router.relay
 
+import corneltrack.policy.discovery.TopicPosition
+
 /** How long records are sent to peers, in ms: with at least four watermarks, so that a lost datagram costs no read. */
 private const val SHARED_MS = 1_500L
 
@@ -15,24 +17,24 @@
 
     private val entries = ArrayDeque<Entry>()
 
-    /** The offset from which [entries] contains every record that changed the state. */
-    private var base = 0L
+    /** The position from which [entries] contains every record that changed the state. */
+    private var base = TopicPosition.START
     private var reload: RecordBatch? = null
     private var reloadedMs = 0L
 
     /** Adds [record], which changed the state. */
     fun add(record: KeyedRecord, nowMs: Long) {
-        if (record.offset < base) return
+        if (!record.position.reaches(base)) return
         entries += Entry(record, nowMs)
         prune(nowMs)
     }
 
     /**
-     * Starts again at offset [from], as all records before have been loaded without their history.
+     * Starts again at [from], as all records before have been loaded without their history.
      *
      * @param loaded the records that changed the state in this load, or null if peers can't use them.
      */
-    fun restart(from: Long, loaded: RecordBatch?, nowMs: Long) {
+    fun restart(from: TopicPosition, loaded: RecordBatch?, nowMs: Long) {
         entries.clear()
         base = from
         reload = loaded?.takeIf { it.bytes <= MAXIMUM_BATCH_BYTES }
@@ -42,31 +44,33 @@
     /**
      * Returns the records to send, in batches that each fit into a datagram.
      *
-     * @param end the offset up to which the topic has been read.
+     * @param end the position up to which the topic has been read.
      */
-    fun batches(end: Long, nowMs: Long): List<RecordBatch> {
+    fun batches(end: TopicPosition, nowMs: Long): List<RecordBatch> {
         prune(nowMs)
         val loaded = reload?.takeIf { nowMs - reloadedMs <= SHARED_MS }
         return listOfNotNull(loaded) + split(end)
     }
 
-    private fun split(end: Long): List<RecordBatch> {
+    private fun split(end: TopicPosition): List<RecordBatch> {
         val batches = ArrayList<RecordBatch>()
         val pending = ArrayList<SharedRecord>()
         var pendingBytes = 0
         var from = base
 
-        fun close(at: Long, next: Long) {
-            if (pending.isNotEmpty()) batches += RecordBatch(from, at, pending.toList())
+        fun close(at: TopicPosition, next: TopicPosition) {
+            if (pending.isNotEmpty()) {
+                batches += RecordBatch(from.offset, at.offset, pending.toList(), era = from.era)
+            }
             pending.clear()
             pendingBytes = 0
             from = next
         }
         entries.map { it.record }.forEach { record ->
             val bytes = record.sharedBytes
-            if (pendingBytes + bytes > MAXIMUM_BATCH_BYTES) close(record.offset, record.offset)
+            if (pendingBytes + bytes > MAXIMUM_BATCH_BYTES) close(record.position, record.position)
             if (bytes > MAXIMUM_BATCH_BYTES) {
-                from = record.offset + 1
+                from = record.position.next
             } else {
                 pending += SharedRecord(record)
                 pendingBytes += bytes
@@ -78,7 +82,7 @@
 
     private fun prune(nowMs: Long) {
         while (entries.size > MAXIMUM_RECORDS || isOutdated(entries.firstOrNull(), nowMs)) {
-            base = entries.removeFirst().record.offset + 1
+            base = entries.removeFirst().record.position.next
         }
     }
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
@@ -100,13 +100,19 @@
     private val load = shared.load
     private val peerLoads = PeerLoads(load)
     private val peers = PeerTable(settings)
-    private val followed = FollowedTopic("peers", topic, PEER_POLL_TIMING)
+    private val followed = FollowedTopic(
+        "peers",
+        topic,
+        PEER_POLL_TIMING,
+        onNewEra = { if (withdrawn || !isRecorded) publish() },
+    )
     private val follower = TopicFollower(followed, loop, clock, ::rank, shared.sharing) { record ->
         shared.rollouts.takesRecord(record) || peers.onRecord(record)
     }
     private val watermarks = WatermarkExchange(clock) { shared.followers() + follower }
     private val sender = DigestSender(settings.id, shared)
     private var digestNumber = 0L
+    private var withdrawn = false
 
     /** The peers, for parts of the router that have messages of their own. */
     val link = PeerLink(FollowedKeyedTopic(topic, follower), peers, sender)
@@ -114,6 +120,9 @@
     /** The number of peers that have announced themselves in the store. */
     val known: Int get() = peers.all.size
 
+    /** Whether the store has the announcement of this router. */
+    private val isRecorded: Boolean get() = follower.records.isRecorded(settings.id.value, follower.end.era)
+
     /** Whether the region has so many routers that reading each change at each of them costs more than sending it. */
     val isRegionLarge: Boolean get() = peers.inRegion.size + 1 > MAXIMUM_READING_ROUTERS
 
@@ -123,14 +132,17 @@
             .option(ChannelOption.RECVBUF_ALLOCATOR, datagramAllocator())
             .handler(DigestHandler()).bind(settings.peers.toSocketAddress()).sync().channel()
         loop.execute {
-            announce()
+            publish()
             follower.start()
         }
         loop.scheduleAtFixedRate(::onTick, DIGEST_PERIOD_MS, DIGEST_PERIOD_MS, TimeUnit.MILLISECONDS)
     }
 
     /** Removes the announcement of this router from the store. */
-    fun withdraw(): Unit = topic.write(settings.id.value, null) { }
+    fun withdraw() {
+        withdrawn = true
+        publish()
+    }
 
     /** Sends [suspicion] to all peers. */
     fun share(suspicion: Suspicion) {
@@ -138,10 +150,11 @@
         repeat(SUSPICION_COPIES) { sender.send(digest, peers.all) }
     }
 
-    private fun announce() {
-        val record = PeerRecord(settings.dataCentre.value, settings.peers.toString())
-        topic.write(settings.id.value, peerJson.encodeToString(record).toByteArray()) { written ->
-            if (!written) loop.schedule(::announce, ANNOUNCE_RETRY_MS, TimeUnit.MILLISECONDS)
+    /** Writes the announcement, or removes it if this router leaves. */
+    private fun publish() {
+        val record = PeerRecord(settings.dataCentre.value, settings.peers.toString()).takeUnless { withdrawn }
+        topic.write(settings.id.value, record?.let { peerJson.encodeToString(it).toByteArray() }) { written ->
+            if (!written && !withdrawn) loop.schedule(::publish, ANNOUNCE_RETRY_MS, TimeUnit.MILLISECONDS)
         }
     }
 
@@ -159,6 +172,7 @@
         if (follower.asOf == null) null else FleetPosition(peers.position, peers.all.size + 1)
 
     private fun onTick() {
+        watermarks.alignEras()
         sender.sendDueLoads(peers.recipients(digestNumber++), clock().monotonicMs)
         watermarks.dueDigests(settings.id.value).forEach { sender.send(it, peers.inRegion) }
         shared.partSuspects.dueReports(settings.id.value)?.let { sender.send(it, peers.all) }
@@ -170,7 +184,8 @@
         if (!peers.admits(peer, bytes)) return
         peers.onDigest(peer, digest.router, nowMs)
         digest.suspicions.forEach(onSuspicion)
-        watermarks.onPeer(digest.sender, digest.watermarks, digest.records?.takeIf { peers.isInRegion(peer) })
+        val listed = peers.isInRegion(peer)
+        watermarks.onPeer(digest.sender, digest.watermarks, listed, digest.records?.takeIf { listed })
         shared.partSuspects.onPeer(digest)
         if (digest.rollouts.isNotEmpty()) shared.rollouts.onDigest(peer, digest.rollouts)
         if (digest.carriesLoad) peerLoads.onDigest(peer, digest, nowMs)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RecordSharing.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RecordSharing.kt
@@ -17,6 +17,9 @@
     /** A load of all records after the records to read next expired, or since there are too many of them. */
     RELOAD,
 
+    /** A load of all records after the store came back from an older copy. */
+    NEW_ERA,
+
     /** A read of the records after a page that did not reach the end of the topic. */
     FOLLOW_UP,
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
@@ -122,6 +122,7 @@
         source.streams?.let { StreamRecords(settings.id, it, clock) },
         clock,
         { peers.known + 1 },
+        { routingState.operatorTopic.follower.end.era },
         StreamMetrics(metrics.registry)::onTakenUp,
     )
     private val context = RelayContext(
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RoutingState.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RoutingState.kt
@@ -89,7 +89,13 @@
     private val callbacks: RoutingCallbacks,
 ) {
     private val operatorFollower = TopicFollower(
-        FollowedTopic("operator", source.operator, OPERATOR_POLL_TIMING),
+        FollowedTopic(
+            "operator",
+            source.operator,
+            OPERATOR_POLL_TIMING,
+            // Tables have versions.
+            reconciles = { source.operatorRecordKind(it) == OperatorRecordKind.Table },
+        ),
         loop,
         clock,
         role.rank,
@@ -98,7 +104,8 @@
         ::onOperatorRecord,
     )
     private val endpointFollower = TopicFollower(
-        FollowedTopic("endpoints", source.endpoints, ENDPOINT_POLL_TIMING),
+        // The directory tells older records of an endpoint from newer ones.
+        FollowedTopic("endpoints", source.endpoints, ENDPOINT_POLL_TIMING, reconciles = { true }),
         loop,
         clock,
         role.rank,
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicFollower.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicFollower.kt
@@ -4,9 +4,13 @@
 import corneltrack.policy.discovery.Clocks
 import corneltrack.policy.discovery.Confirmation
 import corneltrack.policy.discovery.ConfirmationSource
+import corneltrack.policy.discovery.StoreEra
+import corneltrack.policy.discovery.TopicPosition
 import corneltrack.policy.discovery.TopicWatermark
 import corneltrack.policy.discovery.takeoverAgeMs
+import corneltrack.wire.event
 import io.netty.channel.EventLoop
+import org.apache.logging.log4j.LogManager
 import java.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
 
@@ -29,6 +33,11 @@
 /** How long a router sends its peers the records of a change that it read although it does not poll, in ms. */
 private const val CATCH_UP_SHARED_MS = 1_000L
 
+/** By how much longer each further router of the region waits, in ms, before it loads a new era of the store. */
+private const val NEW_ERA_STAGGER_MS = 50L
+private const val MAXIMUM_NEW_ERA_STAGGER = 10
+private val logger = LogManager.getLogger("corneltrack.router.relay.TopicFollower")
+
 /**
  * Configures how a topic is polled.
  *
@@ -43,8 +52,17 @@
  * A topic to follow.
  *
  * @property name identifies the topic in logs and in the watermarks that routers exchange.
+ * @property reconciles returns whether the handler of the record of a key tells older content from newer by itself; see
+ *   [TopicCopy].
+ * @property onNewEra called after the store came back from an older copy and all its records have been loaded.
  */
-internal data class FollowedTopic(val name: String, val topic: KeyedTopic, val timing: PollTiming)
+internal data class FollowedTopic(
+    val name: String,
+    val topic: KeyedTopic,
+    val timing: PollTiming,
+    val reconciles: (key: String) -> Boolean = { false },
+    val onNewEra: () -> Unit = {},
+)
 
 /** A topic and what follows it. */
 internal data class FollowedKeyedTopic(val topic: KeyedTopic, val follower: TopicFollower)
@@ -71,7 +89,8 @@
     onRecord: (KeyedRecord) -> Boolean,
 ) {
     private val timing = followed.timing
-    private val copy = TopicCopy(clock, onRecord)
+    private val onNewEra = followed.onNewEra
+    private val copy = TopicCopy(clock, followed.reconciles, onRecord)
     private val reader: TopicReader = TopicReader(followed, loop, clock, copy, sharing.onStoreCall, ::onOutcome)
 
     private val missed = MissedChanges()
@@ -84,10 +103,18 @@
 
     /** Whether no read is in progress or scheduled, only a check whether to take over. */
     private var awaitingPeer = false
-    private var takeoverCheck: ScheduledFuture<*>? = null
 
-    /** The offset up to which this router has read the topic. */
-    val endOffset: Long get() = copy.nextOffset
+    /** The next read, or the check whether to take over. */
+    private var scheduled: ScheduledFuture<*>? = null
+
+    /** The newest era that this router has asked the store about because others had heard of it. */
+    private var heardEra = StoreEra.UNSTATED
+
+    /** The position up to which this router has read the topic. */
+    val end: TopicPosition get() = copy.next
+
+    /** The last record of each key. */
+    val records: KnownRecords get() = copy.records
 
     /** The time since the store is known to have served this router or a peer, in ms. */
     val unservedMs: Long get() = reader.availability.unservedMs
@@ -120,19 +147,21 @@
     /** Loads the newest record of each key and follows the topic from there. */
     fun start(): Unit = reader.load(StoreCallCause.START)
 
-    /** Returns how far this router has read the topic, or null if it relies on a polling peer. */
-    fun watermark(): TopicWatermark? {
-        val now = clock()
-        val known = asOf?.takeIf { polling || rank() == 0 || now.monotonicMs < sharedUntilMs } ?: return null
-        val recoveredAgeMs = storeRecoveredMs?.let { now.monotonicMs - it }
-        return TopicWatermark(
-            copy.nextOffset,
-            if (sharesRecords) copy.sharedChangeEnd else copy.lastChangeEnd,
-            now.since(known),
-            known.wallClockMs,
-            recoveredAgeMs,
-        )
-    }
+    /** How far this router has read the topic; null if it relies on a polling peer. */
+    val watermark: TopicWatermark?
+        get() {
+            val now = clock()
+            val known = asOf?.takeIf { polling || rank() == 0 || now.monotonicMs < sharedUntilMs } ?: return null
+            val recoveredAgeMs = storeRecoveredMs?.let { now.monotonicMs - it }
+            return TopicWatermark(
+                copy.next.offset,
+                (if (sharesRecords) copy.sharedChangeEnd else copy.lastChangeEnd).offset,
+                now.since(known),
+                known.wallClockMs,
+                recoveredAgeMs,
+                copy.next.era,
+            )
+        }
 
     /** The records to send to peers with the watermark. */
     val batches: List<RecordBatch> get() = if (sharesRecords) copy.batches() else emptyList()
@@ -147,33 +176,50 @@
      */
     fun onWatermark(watermark: TopicWatermark, records: SharedRecords? = null, peer: String? = null) {
         val current = asOf ?: return
+        // A position of another era says nothing about this copy; onEra has the store asked about a newer one.
+        if (watermark.era != copy.next.era) return
         val now = clock()
         val peerAsOf = watermark.asOf(now)
         reader.availability.onPeer(peerAsOf, watermark.storeRecoveredAgeMs?.let { now.monotonicMs - it })
         if (records != null && !reader.loading) take(watermark, records)
         when {
-            watermark.lastChangeEnd > copy.nextOffset -> onMissedChange(watermark, records != null)
+            copy.next.precedes(watermark.lastChange) -> onMissedChange(watermark, records != null)
             // The peer has read the topic more recently, so it is the one that polls.
             now.since(peerAsOf) < now.since(current) -> {
-                copy.confirmation = Confirmation(peerAsOf, ConfirmationSource.PEER, copy.nextOffset, peer)
+                copy.confirm(Confirmation(peerAsOf, ConfirmationSource.PEER, copy.next, peer))
                 polling = false
             }
         }
     }
 
+    /**
+     * Asks the store about [era], which another topic of it or a peer is known to have reached, unless this topic has.
+     * What the store says then counts, and no earlier read of it.
+     */
+    fun onEra(era: StoreEra) {
+        val news = era.isAfter(copy.next.era) && era.isAfter(heardEra)
+        if (!news || asOf == null || reader.loading) return
+        heardEra = era
+        scheduled?.cancel(false)
+        awaitingPeer = false
+        reader.supersede()
+        val stagger = NEW_ERA_STAGGER_MS * minOf(rank(), MAXIMUM_NEW_ERA_STAGGER)
+        scheduled = loop.after(stagger) { reader.load(StoreCallCause.NEW_ERA) }
+    }
+
     private fun take(watermark: TopicWatermark, records: SharedRecords) {
-        val batch = records.batch?.takeIf { records.topic == name && it.end <= watermark.nextOffset }
+        val batch = records.batch?.takeIf { records.topic == name && watermark.next.reaches(it.endPosition) }
         val taken = batch?.let(copy::take) ?: 0
         if (taken > 0) sharing.onRecordsTaken(name, taken)
         copy.skipHeartbeats(watermark)
-        missed.onProgress(copy.nextOffset)
+        missed.onProgress(copy.next)
     }
 
     private fun onMissedChange(watermark: TopicWatermark, shared: Boolean) {
         missed.add(watermark)
         if (!awaitingPeer || (shared && missed.dueMs != null)) return
         awaitingPeer = false
-        takeoverCheck?.cancel(false)
+        scheduled?.cancel(false)
         if (shared) {
             val stagger = CATCH_UP_STAGGER_MS * (rank() - 1).coerceIn(0, MAXIMUM_CATCH_UP_STAGGER)
             missed.dueMs = clock().monotonicMs + CATCH_UP_WAIT_MS + stagger
@@ -184,7 +230,7 @@
     }
 
     private fun catchUp() {
-        if (missed.topicEnd - copy.nextOffset > MAXIMUM_CATCH_UP_RECORDS) {
+        if (missed.recordsAfter(copy.next) > MAXIMUM_CATCH_UP_RECORDS) {
             reader.load(StoreCallCause.RELOAD)
         } else {
             reader.read(0, StoreCallCause.ANNOUNCED)
@@ -193,12 +239,17 @@
 
     private fun onOutcome(outcome: ReadOutcome): Unit = when (outcome) {
         is ReadOutcome.Loaded -> {
+            if (outcome.load.beginsEra) {
+                missed.clear()
+                logNewEra(name, copy, outcome.load)
+                onNewEra()
+            }
             // A single page shows the state at its end, so that the next regular read is soon enough.
             val upToDate = sharesRecords && outcome.load.pages == 1
             if (upToDate) onUpToDate() else reader.read(timing.waitMs, StoreCallCause.FOLLOW_UP)
         }
         is ReadOutcome.ReachedEnd -> {
-            copy.confirmation = Confirmation(outcome.asOf, outcome.source, copy.nextOffset)
+            copy.confirm(Confirmation(outcome.asOf, outcome.source, copy.next))
             onUpToDate()
         }
         ReadOutcome.RetryDue -> {
@@ -218,14 +269,13 @@
     private fun scheduleNextRead() {
         if (rank() == 0) {
             polling = true
-            loop.after(timing.delayMs) { reader.read(timing.waitMs, StoreCallCause.POLL) }
+            scheduled = loop.after(timing.delayMs) { reader.read(timing.waitMs, StoreCallCause.POLL) }
         } else {
             awaitingPeer = true
             // Even with rank 0 this router would not take over earlier, so the check need not run before.
             val takeoverMs = takeoverAgeMs(timing.waitMs + timing.delayMs, rank = 0) - (ageMs ?: Long.MAX_VALUE)
             val dueMs = minOf(takeoverMs, missed.dueMs?.let { it - clock().monotonicMs } ?: Long.MAX_VALUE)
-            takeoverCheck =
-                loop.schedule(::checkTakeover, maxOf(MINIMUM_CHECK_INTERVAL_MS, dueMs), TimeUnit.MILLISECONDS)
+            scheduled = loop.after(maxOf(MINIMUM_CHECK_INTERVAL_MS, dueMs), ::checkTakeover)
         }
     }
 
@@ -243,6 +293,14 @@
     }
 }
 
-private fun EventLoop.after(delayMs: Long, action: () -> Unit) {
+private fun EventLoop.after(delayMs: Long, action: () -> Unit): ScheduledFuture<*> =
     schedule(action, delayMs, TimeUnit.MILLISECONDS)
+
+private fun logNewEra(topic: String, copy: TopicCopy, load: TopicLoad) = logger.event("store_era_loaded") {
+    field("topic", topic)
+    field("era", copy.next.era)
+    field("previous", load.from.era)
+    field("records", load.keys.size)
+    field("held_back", load.heldBack.size)
+    field("kept", copy.records.olderThan(copy.next.era).size)
 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicReader.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicReader.kt
@@ -3,6 +3,7 @@
 import corneltrack.policy.discovery.ClockReading
 import corneltrack.policy.discovery.Clocks
 import corneltrack.policy.discovery.ConfirmationSource
+import corneltrack.policy.discovery.TopicPosition
 import corneltrack.wire.event
 import io.netty.channel.EventLoop
 import org.apache.logging.log4j.LogManager
@@ -38,6 +39,9 @@
     private val onOutcome: (ReadOutcome) -> Unit,
 ) {
     private val topic = followed.topic
+
+    /** The number of the latest call: the response to an earlier one, or its repetition, changes nothing. */
+    private var latestCall = 0L
     val availability = StoreAvailability(followed.name, clock)
 
     /** Whether a load is in progress, during which the copy must not change otherwise. */
@@ -50,21 +54,38 @@
         loadPage(null, copy.beginLoad(), cause)
     }
 
+    /** Has the response to the call in progress, or its repetition, change nothing. */
+    fun supersede() {
+        latestCall++
+    }
+
+    private fun <T> unlessSuperseded(action: (T) -> Unit): (T) -> Unit {
+        val call = ++latestCall
+        return { if (call == latestCall) action(it) }
+    }
+
     private fun loadPage(after: String?, load: TopicLoad, cause: StoreCallCause) {
         onStoreCall(followed.name, cause)
-        topic.newest(after, availability.timeoutMs) { response ->
+        val onResponse = unlessSuperseded<TopicResponse> { response ->
             when {
                 response !is TopicResponse.Newest -> reload(response, load)
-                response.end >= copy.nextOffset -> onPage(response, load, cause)
-                // The end of a topic never goes back, so that the page belongs to another call.
-                else -> reload(TopicResponse.Unavailable("a page that ends at ${response.end}"), load)
+                // Within an era the end of a topic never goes back, so that the page belongs to another call.
+                !copy.next.admits(
+                    response.end
+                ) -> reload(TopicResponse.Unavailable("a page that ends at ${response.end}"), load)
+                load.resume?.let { response.end.era != it.era } == true -> restart(load, StoreCallCause.RELOAD)
+                else -> onPage(response, load, cause)
             }
         }
+        topic.newest(after, availability.timeoutMs, onResponse)
     }
 
-    private fun reload(response: TopicResponse, load: TopicLoad) = onFailure(response) {
+    private fun reload(response: TopicResponse, load: TopicLoad) =
+        onFailure(response) { restart(load, StoreCallCause.RETRY) }
+
+    private fun restart(load: TopicLoad, cause: StoreCallCause) {
         load.restart(clock())
-        loadPage(null, load, StoreCallCause.RETRY)
+        loadPage(null, load, cause)
     }
 
     private fun onPage(page: TopicResponse.Newest, load: TopicLoad, cause: StoreCallCause) {
@@ -81,11 +102,11 @@
         onOutcome(ReadOutcome.Loaded(load))
     }
 
-    /** Reads the records from the copy's next offset to the end of the topic. */
+    /** Reads the records from the copy's next position to the end of the topic. */
     fun read(waitMs: Long, cause: StoreCallCause) {
         val sentAt = clock()
         onStoreCall(followed.name, cause)
-        topic.read(copy.nextOffset, waitMs, availability.timeoutMs) { response ->
+        val onResponse = unlessSuperseded<TopicResponse> { response ->
             when (response) {
                 is TopicResponse.Records -> onRecords(response, sentAt, waitMs)
                 TopicResponse.Expired -> {
@@ -93,15 +114,17 @@
                     availability.onResponse()
                     load(StoreCallCause.RELOAD)
                 }
+                is TopicResponse.NewEra -> load(StoreCallCause.NEW_ERA)
                 else -> onFailure(response) { onOutcome(ReadOutcome.RetryDue) }
             }
         }
+        topic.read(copy.next, waitMs, availability.timeoutMs, onResponse)
     }
 
     private fun onRecords(page: TopicResponse.Records, sentAt: ClockReading, waitMs: Long) {
         availability.onResponse()
         copy.read(page)
-        if (copy.nextOffset < page.end) {
+        if (copy.next.precedes(page.end)) {
             read(waitMs, StoreCallCause.FOLLOW_UP)
             return
         }
@@ -114,6 +137,10 @@
     private fun onFailure(response: TopicResponse, retry: () -> Unit) {
         val reason = (response as? TopicResponse.Unavailable)?.reason ?: "unexpected response"
         val delayMs = availability.onFailure(reason, copy.asOf?.let { clock().since(it) })
-        loop.schedule(retry, delayMs, TimeUnit.MILLISECONDS)
+        val unlessSuperseded = unlessSuperseded<Unit> { retry() }
+        loop.schedule({ unlessSuperseded(Unit) }, delayMs, TimeUnit.MILLISECONDS)
     }
 }
+
+/** Whether a page that ends at [end] may be of a load that started after all before this position had been read. */
+private fun TopicPosition.admits(end: TopicPosition) = end.era.isAfter(era) || end.reaches(this)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/ViewCurrency.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/ViewCurrency.kt
@@ -20,7 +20,8 @@
         line.field(ageField, ageMs)
         line.field("confirmed_by", confirmation?.source?.name?.lowercase())
         line.field("confirmed_peer", confirmation?.peer)
-        line.field("confirmed_offset", confirmation?.offset)
+        line.field("confirmed_offset", confirmation?.end?.offset)
+        line.field("confirmed_era", confirmation?.end?.era)
     }
 }
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/WatermarkExchange.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/WatermarkExchange.kt
@@ -1,6 +1,7 @@
 package corneltrack.router.relay
 
 import corneltrack.policy.discovery.Clocks
+import corneltrack.policy.discovery.StoreEra
 import corneltrack.policy.discovery.SuspensionDetector
 import corneltrack.policy.discovery.TopicWatermark
 
@@ -33,10 +34,15 @@
         return sent.map { PeerDigest(sender, watermarks = due, records = it) }
     }
 
+    /** Has all topics that are behind the newest era that one of them has reached ask the store about it. */
+    fun alignEras() = followers().forEach { onEra(it.end.era) }
+
+    private fun onEra(era: StoreEra) = followers().forEach { it.onEra(era) }
+
     private fun due(): Map<String, TopicWatermark> {
         val now = clock()
         suspensions.isSettled(now)
-        val watermarks = followers().mapNotNull { topic -> topic.watermark()?.let { topic.name to it } }.toMap()
+        val watermarks = followers().mapNotNull { topic -> topic.watermark?.let { topic.name to it } }.toMap()
         val changes = watermarks.mapValues { it.value.lastChangeEnd }
         if (changes == sentChanges && now.monotonicMs - sentMs < PERIOD_MS) return emptyMap()
         sentChanges = changes
@@ -47,10 +53,17 @@
     /**
      * Applies the [watermarks] of [peer], by topic name.
      *
+     * @param listed whether the store lists the peer in this region; only then its word about a new era counts.
      * @param records what the peer sent with them, or null if it shares no records or is not listed in the region.
      */
-    fun onPeer(peer: String, watermarks: Map<String, TopicWatermark>, records: SharedRecords? = null) {
+    fun onPeer(
+        peer: String,
+        watermarks: Map<String, TopicWatermark>,
+        listed: Boolean,
+        records: SharedRecords? = null,
+    ) {
         if (watermarks.isEmpty() || !suspensions.isSettled(clock())) return
+        if (listed) watermarks.values.forEach { onEra(it.era) }
         followers().forEach { topic ->
             watermarks[topic.name]?.let { topic.onWatermark(it, records.takeIf { topic.sharesRecords }, peer) }
         }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/RolloutDriver.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/RolloutDriver.kt
@@ -26,6 +26,7 @@
     private val writer = with(parts) {
         StatusWriter(link.statuses, currency.statuses, records) { clock().monotonicMs }
     }
+    private val lostStatuses = LostStatuses(parts)
     private val isolated = HashSet<PoolId>()
 
     /** Whether the router has known once, since its start, which of the listed versions are in force. */
@@ -50,6 +51,7 @@
         started = started || parts.currency.current && lists.all { it.confirmed.size == it.all.size }
         val reported = parts.all.filter { it.pool in tablePools && it.isReported(now.monotonicMs) }
         if (reported.isNotEmpty()) advance(reported)
+        lostStatuses.next()?.let { (pool, status) -> if (writer.ready && parts.currency.current) write(pool, status) }
     }
 
     private fun advance(reported: List<PoolRollout>) {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/RolloutRecordReader.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/RolloutRecordReader.kt
@@ -17,7 +17,7 @@
         val wallClockMs = parts.clock().wallClockMs
         val rollout = parts.of(pool)
         val value = record.value
-        when (val decoded = value?.let { parts.records.decodeOrder(pool, it, record.offset) }) {
+        when (val decoded = value?.let { parts.records.decodeOrder(pool, it, record.position.offset) }) {
             null -> {
                 parts.log.order(pool, rollout.order, "removed")
                 rollout.onOrder(null, wallClockMs)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/StatusWriter.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/StatusWriter.kt
@@ -1,5 +1,6 @@
 package corneltrack.router.relay.rollout
 
+import corneltrack.policy.discovery.TopicPosition
 import corneltrack.policy.rollout.RolloutStatus
 import corneltrack.router.relay.ConditionalWrite
 import corneltrack.router.relay.FollowedKeyedTopic
@@ -19,13 +20,13 @@
     private val monotonicMs: () -> Long,
 ) {
     private var pending = false
-    private var readToOffset = 0L
+    private var readToEnd = TopicPosition.START
     private var readFromMs = Long.MIN_VALUE
 
     /** Whether the topic has been read as far as needed since the last write. */
     val ready: Boolean
         get() {
-            val read = topic.follower.endOffset >= readToOffset && statuses.covers(readFromMs)
+            val read = !topic.follower.end.precedes(readToEnd) && statuses.covers(readFromMs)
             if (!pending && !read) statuses.request()
             return !pending && read
         }
@@ -33,20 +34,20 @@
     /** Writes [status] of [pool] and calls back with the result. */
     fun write(pool: PoolId, status: RolloutStatus, onDone: (ConditionalWrite) -> Unit) {
         pending = true
-        val end = topic.follower.endOffset
+        val end = topic.follower.end
         topic.topic.writeAt(records.statusKey(pool), records.encodeStatus(status), end) { result ->
             pending = false
             when (result) {
-                is ConditionalWrite.Written -> readTo(result.position + 1)
-                is ConditionalWrite.Conflict -> readTo(result.end ?: (end + 1))
+                is ConditionalWrite.Written -> readTo(result.position.next)
+                is ConditionalWrite.Conflict -> readTo(result.end ?: end.next)
                 is ConditionalWrite.Unknown -> readFromMs = monotonicMs()
             }
             onDone(result)
         }
     }
 
-    private fun readTo(end: Long) {
-        readToOffset = maxOf(readToOffset, end)
+    private fun readTo(end: TopicPosition) {
+        if (end.supersedes(readToEnd)) readToEnd = end
         statuses.readTo(end)
     }
 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/TopicConfirmation.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/TopicConfirmation.kt
@@ -2,6 +2,7 @@
 
 import corneltrack.policy.discovery.ClockReading
 import corneltrack.policy.discovery.Clocks
+import corneltrack.policy.discovery.TopicPosition
 import corneltrack.policy.discovery.TopicWatermark
 import corneltrack.router.relay.FollowedKeyedTopic
 import corneltrack.router.relay.TopicResponse
@@ -38,16 +39,18 @@
         if (pending || recent || !loaded) return
         pending = true
         requestedMs = sentAt.monotonicMs
-        followed.topic.read(follower.endOffset, 0, TIMEOUT_MS) { response ->
+        followed.topic.read(follower.end, 0, TIMEOUT_MS) { response ->
             pending = false
             when {
+                response is TopicResponse.NewEra -> follower.onEra(response.era)
                 response !is TopicResponse.Records -> Unit
-                response.end <= follower.endOffset -> confirmedAt = sentAt
+                follower.end.reaches(response.end) -> confirmedAt = sentAt
                 else -> readTo(response.end)
             }
         }
     }
 
-    /** Has the follower read on to [end], the offset after the topic's last record. */
-    fun readTo(end: Long) = follower.onWatermark(TopicWatermark(end, end, 0, clock().wallClockMs))
+    /** Has the follower read on to [end], the position after the topic's last record. */
+    fun readTo(end: TopicPosition) =
+        follower.onWatermark(TopicWatermark(end.offset, end.offset, 0, clock().wallClockMs, era = end.era))
 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/streams/StreamControl.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/streams/StreamControl.kt
@@ -1,6 +1,7 @@
 package corneltrack.router.relay.streams
 
 import corneltrack.policy.discovery.Clocks
+import corneltrack.policy.discovery.StoreEra
 import corneltrack.policy.streams.StreamKey
 import corneltrack.policy.streams.StreamOrigin
 import corneltrack.policy.streams.StreamOrigins
@@ -47,6 +48,7 @@
  *
  * @param records null where there is no store to share them through.
  * @param routers returns the number of routers in the fleet.
+ * @param storeEra returns the newest known era of the store.
  * @param onTakenUp called with each decision.
  */
 internal class StreamControl(
@@ -54,6 +56,7 @@
     private val records: StreamRecords?,
     private val clock: Clocks,
     private val routers: () -> Int,
+    private val storeEra: () -> StoreEra,
     private val onTakenUp: (StreamContinuation) -> Unit,
 ) {
     private val streams = StreamOrigins()
@@ -84,7 +87,7 @@
         val shared = records ?: return
         shared.expire()
         if (!shared.covers(versions.neededSinceMs(clock().monotonicMs))) load()
-        shared.write(streams, mixed)
+        shared.write(streams, mixed, storeEra())
     }
 
     /** Returns until when streams of several versions can be taken up in each pool, in ms since the epoch. */
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/streams/StreamRecords.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/streams/StreamRecords.kt
@@ -1,6 +1,7 @@
 package corneltrack.router.relay.streams
 
 import corneltrack.policy.discovery.Clocks
+import corneltrack.policy.discovery.StoreEra
 import corneltrack.policy.streams.StreamOrigins
 import corneltrack.router.relay.KeyedRecord
 import corneltrack.router.relay.KeyedTopic
@@ -21,11 +22,14 @@
  * after all routers have restarted. Each router has one record. Confined to the event loop.
  */
 internal class StreamRecords(private val own: InstanceId, private val topic: KeyedTopic, private val clock: Clocks) {
+    /** The content of this router's record, null for none, and the era in which the store confirmed it. */
+    private class Written(val value: ByteArray?, val era: StoreEra)
+
     private val waiting = ArrayList<() -> Unit>()
     private val mixedUntilMs = HashMap<PoolId, Long>()
     private var reading = false
     private var writing = false
-    private var written: ByteArray? = null
+    private var written = Written(null, StoreEra.UNSTATED)
 
     /** The streams that routers have recorded, as last read. */
     val origins: StreamOrigins = StreamOrigins()
@@ -81,7 +85,7 @@
     private fun onRecord(record: KeyedRecord) {
         val value = record.value ?: return
         val inherits = !loaded && record.key == own.value
-        if (inherits) written = value
+        if (inherits) written = Written(value, record.position.era)
         val table = StreamTable.decode(value)
         if (table == null) {
             logger.event("stream_record_unreadable", Level.WARN) { field("key", record.key) }
@@ -96,17 +100,19 @@
     }
 
     /**
-     * Writes the record of this router if it has changed; removes it where no pool is mixed. Does nothing before the
-     * record of an earlier process has been read, or while another write is in progress.
+     * Writes the record of this router if it has changed, or the store may have lost it; removes it where no pool is
+     * mixed. Does nothing before the record of an earlier process has been read, or while another write is in progress.
+     *
+     * @param era the newest known era of the store.
      */
-    fun write(streams: StreamOrigins, mixedUntilMs: Map<PoolId, Long>) {
+    fun write(streams: StreamOrigins, mixedUntilMs: Map<PoolId, Long>, era: StoreEra) {
         if (!loaded || writing) return
         val value = if (mixedUntilMs.isEmpty()) null else table(streams, mixedUntilMs).encode()
-        if (value contentEquals written) return
+        if (value contentEquals written.value && (value == null || era == written.era)) return
         writing = true
         topic.write(own.value, value) { confirmed ->
             writing = false
-            if (confirmed) written = value else onNotWritten(value)
+            if (confirmed) written = Written(value, era) else onNotWritten(value)
         }
     }
 
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/ChangeJournalTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/ChangeJournalTest.kt
@@ -17,7 +17,7 @@
     fun `records that do not fit into a datagram are split into adjoining batches`() {
         (0L until 10L).forEach { journal.add(record(it, bytes = 3_000), nowMs) }
 
-        val batches = journal.batches(end = 12, nowMs)
+        val batches = journal.batches(at(12, era = 0), nowMs)
 
         assertEquals(0, batches.first().base)
         assertEquals(12, batches.last().end)
@@ -33,7 +33,7 @@
             TopicWatermark(Long.MAX_VALUE, Long.MAX_VALUE, Long.MAX_VALUE, Long.MAX_VALUE, Long.MAX_VALUE)
         }
 
-        val sizes = journal.batches(end = Long.MAX_VALUE, nowMs).map {
+        val sizes = journal.batches(at(Long.MAX_VALUE, era = 0), nowMs).map {
             val digest = PeerDigest("router", watermarks = watermarks, records = SharedRecords("endpoints", it))
             wireProtobuf.encodeToByteArray(digest).size
         }
@@ -48,7 +48,7 @@
         journal.add(record(5, bytes = 20_000), nowMs)
         journal.add(record(8), nowMs)
 
-        val ranges = journal.batches(end = 9, nowMs).map { it.base to it.end }
+        val ranges = journal.batches(at(9, era = 0), nowMs).map { it.base to it.end }
 
         assertEquals(listOf(0L to 5L, 6L to 9L), ranges)
     }
@@ -59,7 +59,7 @@
         nowMs += 5_000
         journal.add(record(8), nowMs)
 
-        val batch = journal.batches(end = 9, nowMs).single()
+        val batch = journal.batches(at(9, era = 0), nowMs).single()
 
         assertEquals(4, batch.base)
         assertEquals(listOf(8L), batch.records.map { it.offset })
@@ -69,32 +69,32 @@
     fun `a batch continues only a router within its range`() {
         val batch = RecordBatch(4, 9, listOf(SharedRecord(8, "key")))
 
-        assertEquals((4L..8L).toList(), (0L..12L).filter(batch::continues))
+        assertEquals((4L..8L).toList(), (0L..12L).filter { batch.continues(at(it, era = 0)) })
     }
 
     @Test
     fun `a batch with a record outside of its range is not taken`() {
-        assertFalse(RecordBatch(4, 9, listOf(SharedRecord(9, "key"))).continues(4))
-        assertFalse(RecordBatch(4, 9, listOf(SharedRecord(2, "key"))).continues(4))
+        assertFalse(RecordBatch(4, 9, listOf(SharedRecord(9, "key"))).continues(at(4, era = 0)))
+        assertFalse(RecordBatch(4, 9, listOf(SharedRecord(2, "key"))).continues(at(4, era = 0)))
     }
 
     // The deduplicator forgets the offset of a removed key, so that an older record of it would be taken for a new one.
     @Test
     fun `a batch or a read that was under way does not bring back a removed key`() {
         val present = HashSet<String>()
-        val copy = TopicCopy({ ClockReading(nowMs, nowMs) }) {
+        val copy = TopicCopy({ ClockReading(nowMs, nowMs) }, { false }) {
             if (it.value == null) present.remove(it.key) else present.add(it.key)
         }
         val written = record(2)
-        val removed = KeyedRecord("key", null, 4)
+        val removed = KeyedRecord("key", null, at(4, era = 0))
         assertEquals(2, copy.take(RecordBatch(0, 6, listOf(SharedRecord(written), SharedRecord(removed)))))
 
-        copy.read(TopicResponse.Records(listOf(written), next = 3, end = 3))
+        copy.read(TopicResponse.Records(listOf(written), next = at(3, era = 0), end = at(3, era = 0)))
         copy.take(RecordBatch(0, 8, listOf(SharedRecord(written), SharedRecord(7, "other", ByteArray(1)))))
 
         assertEquals(setOf("other"), present)
-        assertEquals(8, copy.nextOffset)
+        assertEquals(8, copy.next.offset)
     }
 
-    private fun record(offset: Long, bytes: Int = 10) = KeyedRecord("key", ByteArray(bytes), offset)
+    private fun record(offset: Long, bytes: Int = 10) = KeyedRecord("key", ByteArray(bytes), at(offset, era = 0))
 }
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/FakeTopic.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/FakeTopic.kt
@@ -1,5 +1,6 @@
 package corneltrack.router.relay
 
+import corneltrack.policy.discovery.TopicPosition
 import io.netty.channel.EventLoop
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.TimeUnit
@@ -11,6 +12,8 @@
 internal class FakeTopic(private val loop: EventLoop) {
     private val records = CopyOnWriteArrayList<KeyedRecord>()
 
+    private val end: TopicPosition get() = at(records.size.toLong())
+
     /** Whether each call fails as if the store did not respond. */
     @Volatile
     var unavailable: Boolean = false
@@ -36,36 +39,36 @@
     fun newest(key: String): String? = records.lastOrNull { it.key == key }?.value?.let { String(it) }
 
     fun put(key: String, value: String?) {
-        records += KeyedRecord(key, value?.toByteArray(), records.size.toLong())
+        records += KeyedRecord(key, value?.toByteArray(), end)
     }
 
     private fun newest(after: String?, onResponse: (TopicResponse) -> Unit) = respond(0, onResponse) {
         check(after == null) { "all records fit on the first page" }
         val newest = records.groupBy { it.key }.values.map { it.last() }.filter { it.value != null }
-        TopicResponse.Newest(newest, null, records.size.toLong())
+        TopicResponse.Newest(newest, null, end)
     }
 
-    private fun read(from: Long, waitMs: Long, onResponse: (TopicResponse) -> Unit) {
-        lastReadFrom = from
+    private fun read(from: TopicPosition, waitMs: Long, onResponse: (TopicResponse) -> Unit) {
+        lastReadFrom = from.offset
         respond(minOf(waitMs, MAXIMUM_WAIT_MS), onResponse) {
-            if (from < oldestOffset) {
+            if (from.offset < oldestOffset) {
                 TopicResponse.Expired
             } else {
-                val end = records.size.toLong()
-                TopicResponse.Records(records.drop(from.toInt()), end, end)
+                val end = this.end
+                TopicResponse.Records(records.drop(from.offset.toInt()), end, end)
             }
         }
     }
 
     private fun write(key: String, value: ByteArray?, onDone: (Boolean) -> Unit) {
-        records += KeyedRecord(key, value, records.size.toLong())
+        records += KeyedRecord(key, value, end)
         loop.execute { onDone(true) }
     }
 
-    private fun writeAt(key: String, value: ByteArray, end: Long, onDone: (ConditionalWrite) -> Unit) {
+    private fun writeAt(key: String, value: ByteArray, end: TopicPosition, onDone: (ConditionalWrite) -> Unit) {
         val result = when {
             unavailable -> ConditionalWrite.Unknown("unavailable")
-            end != records.size.toLong() -> ConditionalWrite.Conflict(records.size.toLong())
+            end != this.end -> ConditionalWrite.Conflict(this.end)
             else -> ConditionalWrite.Written(end).also { records += KeyedRecord(key, value, end) }
         }
         loop.execute { onDone(result) }
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/PeerTableTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/PeerTableTest.kt
@@ -32,7 +32,7 @@
     @Test
     fun `an announced peer counts whatever others send`() {
         val record = peerJson.encodeToString(PeerRecord("here", "127.0.0.1:1")).toByteArray()
-        peers.onRecord(KeyedRecord("known", record, offset = 0))
+        peers.onRecord(KeyedRecord("known", record, at(0)))
 
         assertTrue(peers.admits(InstanceId("known"), digestBytes = 16_000))
         assertFalse(peers.admits(InstanceId("unknown"), digestBytes = 16_000), "a long digest of an unknown sender")
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RecordSharingSwitchTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RecordSharingSwitchTest.kt
@@ -46,9 +46,12 @@
 
     /** Sends records of a peer until the router shows [metric]. */
     private fun RelayFixture.awaitMetric(metric: String) {
-        val records = SharedRecords("endpoints", RecordBatch(0, 1, listOf(SharedRecord(0, "endpoint"))))
+        val records = SharedRecords(
+            "endpoints",
+            RecordBatch(0, 1, listOf(SharedRecord(0, "endpoint")), era = at(0).era)
+        )
         await("the router to count $metric") {
-            val watermark = TopicWatermark(1, 1, ageMs = 0, System.currentTimeMillis())
+            val watermark = TopicWatermark(1, 1, ageMs = 0, System.currentTimeMillis(), era = at(0).era)
             sendDigest(PeerDigest("peer-1", watermarks = mapOf("endpoints" to watermark), records = records))
             metric in metrics()
         }
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RegionSimulation.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RegionSimulation.kt
@@ -113,7 +113,7 @@
         fun onDatagram(bytes: ByteArray) {
             val digest = wireProtobuf.decodeFromByteArray<PeerDigest>(bytes)
             val listed = digest.sender in states.getValue("peers")
-            exchange.onPeer(digest.sender, digest.watermarks, digest.records?.takeIf { listed })
+            exchange.onPeer(digest.sender, digest.watermarks, listed, digest.records?.takeIf { listed })
         }
 
         fun start() {
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/SilentStoreTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/SilentStoreTest.kt
@@ -21,7 +21,7 @@
     private var nowMs = 50_000L
     private var silent = false
     private var records = 1L
-    private val newest = { KeyedRecord("configuration", byteArrayOf(1), records - 1) }
+    private val newest = { KeyedRecord("configuration", byteArrayOf(1), at(records - 1)) }
 
     // Guards against a router that waits in a long poll on a dead connection while the store serves again.
     @Test
@@ -35,7 +35,7 @@
             records++
             silent = false
             val backMs = nowMs
-            while (follower.endOffset < records && nowMs - backMs < LONGEST_SILENCE_MS) advance(STEP_MS)
+            while (follower.end.precedes(at(records)) && nowMs - backMs < LONGEST_SILENCE_MS) advance(STEP_MS)
             (nowMs - backMs).also { advance(LONGEST_SILENCE_MS) }
         }.filterValues { it >= CONTACT_MS }
 
@@ -51,11 +51,11 @@
 
     private fun topic() = KeyedTopic(
         newest = { _, timeoutMs, onResponse ->
-            respond(RESPONSE_MS, timeoutMs, onResponse) { TopicResponse.Newest(listOf(newest()), null, records) }
+            respond(RESPONSE_MS, timeoutMs, onResponse) { TopicResponse.Newest(listOf(newest()), null, at(records)) }
         },
         read = { from, waitMs, timeoutMs, onResponse ->
-            respond(if (from < records) RESPONSE_MS else waitMs + RESPONSE_MS, waitMs + timeoutMs, onResponse) {
-                TopicResponse.Records(listOf(newest()).filter { from < records }, records, records)
+            respond(if (from.offset < records) RESPONSE_MS else waitMs + RESPONSE_MS, waitMs + timeoutMs, onResponse) {
+                TopicResponse.Records(listOf(newest()).filter { from.offset < records }, at(records), at(records))
             }
         },
         write = { _, _, _ -> error("nothing is written") },
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/SimulatedLog.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/SimulatedLog.kt
@@ -1,5 +1,7 @@
 package corneltrack.router.relay
 
+import corneltrack.policy.discovery.StoreEra
+import corneltrack.policy.discovery.TopicPosition
 import io.netty.channel.EventLoop
 import java.util.concurrent.TimeUnit
 
@@ -33,11 +35,13 @@
  * The value of a record is a state and a sequence number, as in `ready 7`; a record of the same state is a heartbeat.
  */
 internal class SimulatedLog(private val loop: EventLoop, private val clock: () -> Long) {
-    private class Waiting(val from: Long, val untilMs: Long, val onResponse: (TopicResponse) -> Unit)
+    private class Waiting(val from: TopicPosition, val untilMs: Long, val onResponse: (TopicResponse) -> Unit)
 
     private val records = ArrayList<KeyedRecord>()
     private val waiting = ArrayList<Waiting>()
     private var oldest = 0L
+    private var era = StoreEra(1)
+    private val end get() = TopicPosition(era, records.size.toLong())
     var unavailable = false
 
     /** The calls of all routers to read the topic. */
@@ -48,7 +52,7 @@
 
     fun put(key: String, state: String?) {
         val value = state?.let { "$it ${records.size}".toByteArray() }
-        records += KeyedRecord(key, value, records.size.toLong())
+        records += KeyedRecord(key, value, end)
         val states = history.getOrPut(key) { ArrayList() }
         if (states.lastOrNull()?.state != state) states += KeyState(clock(), state)
     }
@@ -60,7 +64,7 @@
 
     /** Responds to the long polls that are over. */
     fun advance() {
-        val ended = waiting.filter { it.from < records.size || clock() >= it.untilMs }
+        val ended = waiting.filter { !it.from.reaches(end) || clock() >= it.untilMs }
         waiting.removeAll(ended)
         ended.forEach { it.onResponse(records(it.from)) }
     }
@@ -72,7 +76,7 @@
         },
         read = { from, waitMs, timeoutMs, onResponse ->
             respond(timeoutMs, access) { served ->
-                if (served && waitMs > 0 && from >= records.size) {
+                if (served && waitMs > 0 && from.reaches(end)) {
                     waiting += Waiting(from, clock() + waitMs) { response -> later(0, access) { onResponse(response) } }
                 } else {
                     onResponse(if (served) records(from) else FAILURE)
@@ -100,12 +104,12 @@
 
     private fun newest(): TopicResponse {
         val newest = records.groupBy { it.key }.values.map { it.last() }.filter { it.value != null }
-        return TopicResponse.Newest(newest, null, records.size.toLong())
+        return TopicResponse.Newest(newest, null, end)
     }
 
-    private fun records(from: Long): TopicResponse = if (from < oldest) {
-        TopicResponse.Expired
-    } else {
-        TopicResponse.Records(records.drop(from.toInt()), records.size.toLong(), records.size.toLong())
+    private fun records(from: TopicPosition): TopicResponse = when {
+        era.isAfter(from.era) -> TopicResponse.NewEra(era)
+        from.offset < oldest -> TopicResponse.Expired
+        else -> TopicResponse.Records(records.drop(from.offset.toInt()), end, end)
     }
 }
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/TopicFollowerTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/TopicFollowerTest.kt
@@ -91,7 +91,7 @@
         advance(2_000)
 
         assertEquals("leaving", applied.last())
-        assertNotNull(follower.watermark(), "the new polling router sends watermarks")
+        assertNotNull(follower.watermark, "the new polling router sends watermarks")
         advance(10_000)
         assertTrue(ageMs() <= 1_700, "age ${ageMs()} ms, at most 1700 ms allowed")
     }
@@ -121,7 +121,7 @@
     fun `a delayed watermark does not make the state look fresher`() {
         startBoth()
         pollerAlive = false
-        val delayedWatermark = assertNotNull(poller.watermark())
+        val delayedWatermark = assertNotNull(poller.watermark)
         store.refuses = { it === follower }
 
         advance(4_000)
@@ -160,7 +160,7 @@
     @Test
     fun `a router that the store served ignores the outage that a peer reports`() {
         startBoth()
-        val watermark = assertNotNull(poller.watermark())
+        val watermark = assertNotNull(poller.watermark)
 
         deliver(watermark.copy(storeRecoveredAgeMs = 10))
 
@@ -185,7 +185,7 @@
     @Test
     fun `a router that started after an outage takes its end from a peer`() {
         startBoth()
-        val watermark = assertNotNull(poller.watermark())
+        val watermark = assertNotNull(poller.watermark)
         val recoveredBeforeStartMs = 5_000L
 
         deliver(watermark.copy(storeRecoveredAgeMs = recoveredBeforeStartMs))
@@ -199,7 +199,7 @@
         startBoth()
         repeat(1_000) { store.put("endpoint", "heartbeat") }
         store.put("endpoint", "leaving")
-        store.strayPage = TopicResponse.Newest(emptyList(), next = null, end = 2)
+        store.strayPage = TopicResponse.Newest(emptyList(), next = null, end = at(2))
 
         advance(POLL_DELAY_MS * 2)
         store.strayPage = null
@@ -237,7 +237,7 @@
             nowMs += STEP_MS
             channel.advanceTimeBy(STEP_MS, TimeUnit.MILLISECONDS)
             channel.runScheduledPendingTasks()
-            if (nowMs % WATERMARK_INTERVAL_MS == 0L && pollerAlive) deliver(poller.watermark())
+            if (nowMs % WATERMARK_INTERVAL_MS == 0L && pollerAlive) deliver(poller.watermark)
         }
     }
 
@@ -265,6 +265,7 @@
 /** Fakes the platform's store: responds at once, with a failure to the followers that [refuses] selects. */
 private class FakeStore {
     private val records = ArrayList<KeyedRecord>()
+    private val end get() = at(records.size.toLong())
     var calls = 0
     var fullLoads = 0
     var refuses: (TopicFollower) -> Boolean = { false }
@@ -273,16 +274,16 @@
     var strayPage: TopicResponse? = null
 
     fun put(key: String, value: String) {
-        records += KeyedRecord(key, value.toByteArray(), records.size.toLong())
+        records += KeyedRecord(key, value.toByteArray(), end)
     }
 
     fun remove(key: String) {
-        records += KeyedRecord(key, null, records.size.toLong())
+        records += KeyedRecord(key, null, end)
     }
 
     fun topic(caller: () -> TopicFollower) = KeyedTopic(
         newest = { _, _, onResponse -> respond(caller, onResponse) { newest() } },
-        read = { from, _, _, onResponse -> respond(caller, onResponse) { recordsFrom(from) } },
+        read = { from, _, _, onResponse -> respond(caller, onResponse) { recordsFrom(from.offset) } },
         write = { _, _, _ -> error("nothing is written") },
     )
 
@@ -290,11 +291,10 @@
         fullLoads++
         strayPage?.let { return it }
         val newest = records.groupBy { it.key }.map { it.value.last() }.filter { it.value != null }
-        return TopicResponse.Newest(newest, null, records.size.toLong())
+        return TopicResponse.Newest(newest, null, end)
     }
 
     private fun recordsFrom(from: Long): TopicResponse {
-        val end = records.size.toLong()
         return TopicResponse.Records(records.drop(from.toInt()), end, end)
     }
 
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/rollout/StatusWriterTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/rollout/StatusWriterTest.kt
@@ -10,6 +10,7 @@
 import corneltrack.router.relay.FollowedTopic
 import corneltrack.router.relay.PollTiming
 import corneltrack.router.relay.TopicFollower
+import corneltrack.router.relay.at
 import corneltrack.router.relay.await
 import corneltrack.router.wallClock
 import corneltrack.world.PoolId
@@ -58,9 +59,9 @@
 
     @Test
     fun `a status is written where the topic ends`() {
-        assertEquals(ConditionalWrite.Written(0), write(RolloutPhase.TRIAL))
+        assertEquals(ConditionalWrite.Written(at(0)), write(RolloutPhase.TRIAL))
         await("the own record to be read") { onLoop { writer.ready } }
-        assertEquals(ConditionalWrite.Written(1), write(RolloutPhase.SHIFTING))
+        assertEquals(ConditionalWrite.Written(at(1)), write(RolloutPhase.SHIFTING))
         assertEquals("SHIFTING", topic.newest("pool"))
     }
 
@@ -73,7 +74,7 @@
         await("the other record to be read") { onLoop { writer.ready } }
 
         assertEquals("ROLLED_BACK", topic.newest("pool"))
-        assertEquals(1L, onLoop { follower.endOffset })
+        assertEquals(at(1), onLoop { follower.end })
     }
 
     // Guards against a second decision while the first may still be executed.
@@ -86,7 +87,7 @@
         topic.unavailable = false
         await("a later read") { onLoop { writer.ready } }
 
-        assertTrue(onLoop { follower.endOffset == 0L })
+        assertTrue(onLoop { follower.end == at(0) })
     }
 
     private fun write(phase: RolloutPhase): ConditionalWrite {
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/streams/StreamControlTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/streams/StreamControlTest.kt
@@ -2,11 +2,13 @@
 
 import corneltrack.policy.discovery.ClockReading
 import corneltrack.policy.discovery.EndpointDirectory
+import corneltrack.policy.discovery.StoreEra
 import corneltrack.policy.streams.MAXIMUM_STREAM_AGE_MS
 import corneltrack.policy.streams.StreamKey
 import corneltrack.router.relay.KeyedRecord
 import corneltrack.router.relay.KeyedTopic
 import corneltrack.router.relay.TopicResponse
+import corneltrack.router.relay.at
 import corneltrack.world.DataCentreId
 import corneltrack.world.Endpoint
 import corneltrack.world.EndpointId
@@ -38,8 +40,8 @@
     private val topic = KeyedTopic(
         newest = { _, _, onResponse ->
             storeCalls++
-            val records = store.map { (key, value) -> KeyedRecord(key, value, 0) }
-            onResponse(if (storeDown) TopicResponse.Unavailable("down") else TopicResponse.Newest(records, null, 1))
+            val records = store.map { (key, value) -> KeyedRecord(key, value, at(0)) }
+            onResponse(if (storeDown) TopicResponse.Unavailable("down") else TopicResponse.Newest(records, null, at(1)))
         },
         read = { _, _, _, _ -> error("the newest records are enough") },
         write = { key, value, onDone ->
@@ -209,7 +211,8 @@
         val clock = { ClockReading(nowMs, nowMs) }
         val view = VersionView(directory) { list }
         views[name] = view
-        return StreamControl(view, StreamRecords(InstanceId(name), topic, clock), clock, { 1 }, { }).also { it.load() }
+        val records = StreamRecords(InstanceId(name), topic, clock)
+        return StreamControl(view, records, clock, { 1 }, { StoreEra.UNSTATED }, {}).also { it.load() }
     }
 
     private fun StreamControl.begin(stream: StreamKey, version: String) =
