Confirm what a router has read by reads without a wait, as a long poll may hear nothing

A store whose long polls hear nothing answers so while records are written, and the router called its old table current.

Change: a long poll brings records early and confirms nothing; a read without a wait follows each, and the time of its sending is the time as of which the copy is complete. The read after a load does not wait either.

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/discovery/Confirmation.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/discovery/Confirmation.kt
@@ -5,9 +5,6 @@
     /** The router read the records up to the end of the topic. */
     READ,
 
-    /** The store had no record to return until the end of a long poll. */
-    LONG_POLL,
-
     /** The router loaded the newest record of each key. */
     LOAD,
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RecordSharing.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RecordSharing.kt
@@ -20,6 +20,9 @@
     /** A load of all records after the store came back from an older copy. */
     NEW_ERA,
 
+    /** A read after a long poll, which by itself does not show that there was no record. */
+    CONFIRM,
+
     /** A read of the records after a page that did not reach the end of the topic. */
     FOLLOW_UP,
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicFollower.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicFollower.kt
@@ -246,10 +246,10 @@
             }
             // A single page shows the state at its end, so that the next regular read is soon enough.
             val upToDate = sharesRecords && outcome.load.pages == 1
-            if (upToDate) onUpToDate() else reader.read(timing.waitMs, StoreCallCause.FOLLOW_UP)
+            if (upToDate) onUpToDate() else reader.read(0, StoreCallCause.FOLLOW_UP)
         }
         is ReadOutcome.ReachedEnd -> {
-            copy.confirm(Confirmation(outcome.asOf, outcome.source, copy.next))
+            copy.confirm(Confirmation(outcome.asOf, ConfirmationSource.READ, copy.next))
             onUpToDate()
         }
         ReadOutcome.RetryDue -> {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicReader.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicReader.kt
@@ -2,7 +2,6 @@
 
 import corneltrack.policy.discovery.ClockReading
 import corneltrack.policy.discovery.Clocks
-import corneltrack.policy.discovery.ConfirmationSource
 import corneltrack.policy.discovery.TopicPosition
 import corneltrack.wire.event
 import io.netty.channel.EventLoop
@@ -17,8 +16,8 @@
     /** All records have been loaded. */
     class Loaded(val load: TopicLoad) : ReadOutcome
 
-    /** The records up to the end of the topic have been read; none was newer at [asOf], as [source] shows. */
-    class ReachedEnd(val asOf: ClockReading, val source: ConfirmationSource) : ReadOutcome
+    /** The records up to the end of the topic have been read; none was newer at [asOf]. */
+    class ReachedEnd(val asOf: ClockReading) : ReadOutcome
 
     /** A read failed, and the delay before it may be repeated is over. */
     data object RetryDue : ReadOutcome
@@ -102,7 +101,11 @@
         onOutcome(ReadOutcome.Loaded(load))
     }
 
-    /** Reads the records from the copy's next position to the end of the topic. */
+    /**
+     * Reads the records from the copy's next position to the end of the topic.
+     *
+     * A long poll only brings records early. What the copy has is confirmed by a read without a wait that follows it.
+     */
     fun read(waitMs: Long, cause: StoreCallCause) {
         val sentAt = clock()
         onStoreCall(followed.name, cause)
@@ -124,14 +127,12 @@
     private fun onRecords(page: TopicResponse.Records, sentAt: ClockReading, waitMs: Long) {
         availability.onResponse()
         copy.read(page)
-        if (copy.next.precedes(page.end)) {
-            read(waitMs, StoreCallCause.FOLLOW_UP)
-            return
+        when {
+            copy.next.precedes(page.end) -> read(0, StoreCallCause.FOLLOW_UP)
+            // A store may answer a long poll without the records written meanwhile.
+            waitMs > 0 -> read(0, StoreCallCause.CONFIRM)
+            else -> onOutcome(ReadOutcome.ReachedEnd(sentAt))
         }
-        // An empty response to a long poll shows that there was no record until the end of the wait.
-        val waitedMs = if (page.records.isEmpty()) minOf(waitMs, clock().monotonicMs - sentAt.monotonicMs) else 0
-        val source = if (waitedMs > 0) ConfirmationSource.LONG_POLL else ConfirmationSource.READ
-        onOutcome(ReadOutcome.ReachedEnd(sentAt.plus(waitedMs), source))
     }
 
     private fun onFailure(response: TopicResponse, retry: () -> Unit) {
