Hold back of a new era only what may be older, and settle what a broken-off first load read

A record that was truly newer was held back for 2 to 10 s while the copy counted as current: the copy that the store came back from ends before the offsets it lost, so that a record at the offset of the known one or above is newer, and counts at once. An announcement written before the first load is checked after it. A bogus era heard from a peer no longer hides a true one.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
@@ -55,10 +55,12 @@
  *
  * @property takesRecord handles a record of the peers' topic if it is the status of a roll-out; returns whether it is.
  * @property onDigest handles a peer's reports.
+ * @property isStatus returns whether the record of a key is the status of a roll-out, which is known from earlier ones.
  */
 internal class RolloutInbox(
     val takesRecord: (KeyedRecord) -> Boolean = { false },
     val onDigest: (peer: InstanceId, digests: List<RolloutDigest>) -> Unit = { _, _ -> },
+    val isStatus: (key: String) -> Boolean = { false },
 )
 
 /**
@@ -104,7 +106,8 @@
         "peers",
         topic,
         PEER_POLL_TIMING,
-        onNewEra = { if (withdrawn || !isRecorded) publish() },
+        reconciles = { shared.rollouts.isStatus(it) },
+        onLoaded = { if (withdrawn || !isRecorded) publish() },
     )
     private val follower = TopicFollower(followed, loop, clock, ::rank, shared.sharing) { record ->
         shared.rollouts.takesRecord(record) || peers.onRecord(record)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RecordDeduplicator.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RecordDeduplicator.kt
@@ -45,12 +45,14 @@
     }
 
     /**
-     * Whether [record] has other content than this router knows from an older era, so that it may be what the store had
-     * before the records that it lost.
+     * Whether [record] has other content than this router knows from an older era, and may be what the store had before
+     * the records that it lost. The copy that the store came back from ends where the losses begin, so that a record at
+     * the offset of the known one or above it was written since.
      */
     fun contradicts(record: KeyedRecord, nowMs: Long): Boolean {
         val last = known.of(record.key, nowMs) ?: return false
-        return record.position.era.isAfter(last.position.era) && !(record.value contentEquals last.value)
+        val mayBeOlder = record.position.era.isAfter(last.position.era) && record.position.offset < last.position.offset
+        return mayBeOlder && !(record.value contentEquals last.value)
     }
 
     private fun logPassedOver(record: KeyedRecord, last: TopicPosition) = logger.event("record_passed_over") {
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicCopy.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicCopy.kt
@@ -33,6 +33,9 @@
     /** Whether the load is the first one of an era of the store that followed one that the router knew. */
     var beginsEra = false
 
+    /** Whether the load is the first one of this process. */
+    var isFirst = false
+
     /** Starts again with the first page. */
     fun restart(at: ClockReading) {
         startedAt = at
@@ -135,7 +138,10 @@
     fun finish(load: TopicLoad) {
         val end = checkNotNull(load.resume) { "a load without a page" }
         val nowMs = clock().monotonicMs
-        load.beginsEra = confirmation != null && end.era.isAfter(next.era)
+        // An attempt at the first load may have read records of an older era.
+        val hadRecords = confirmation != null || records.olderThan(end.era).isNotEmpty()
+        load.beginsEra = hadRecords && end.era.isAfter(next.era)
+        load.isFirst = confirmation == null
         load.changes += deduplicator.retain(load.keys, end, nowMs)
         lost.onLoad(load)
         settledEnd = if (load.lastEnd.supersedes(end)) load.lastEnd else end
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicFollower.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicFollower.kt
@@ -54,14 +54,15 @@
  * @property name identifies the topic in logs and in the watermarks that routers exchange.
  * @property reconciles returns whether the handler of the record of a key tells older content from newer by itself; see
  *   [TopicCopy].
- * @property onNewEra called after the store came back from an older copy and all its records have been loaded.
+ * @property onLoaded called when all records have been loaded first, and first since the store came back from an older
+ *   copy.
  */
 internal data class FollowedTopic(
     val name: String,
     val topic: KeyedTopic,
     val timing: PollTiming,
     val reconciles: (key: String) -> Boolean = { false },
-    val onNewEra: () -> Unit = {},
+    val onLoaded: () -> Unit = {},
 )
 
 /** A topic and what follows it. */
@@ -89,7 +90,7 @@
     onRecord: (KeyedRecord) -> Boolean,
 ) {
     private val timing = followed.timing
-    private val onNewEra = followed.onNewEra
+    private val onLoaded = followed.onLoaded
     private val copy = TopicCopy(clock, followed.reconciles, onRecord)
     private val reader: TopicReader = TopicReader(followed, loop, clock, copy, sharing.onStoreCall, ::onOutcome)
 
@@ -107,7 +108,7 @@
     /** The next read, or the check whether to take over. */
     private var scheduled: ScheduledFuture<*>? = null
 
-    /** The newest era that this router has asked the store about because others had heard of it. */
+    /** The last era that this router has asked the store about because others had heard of it. */
     private var heardEra = StoreEra.UNSTATED
 
     /** The position up to which this router has read the topic. */
@@ -197,7 +198,7 @@
      * What the store says then counts, and no earlier read of it.
      */
     fun onEra(era: StoreEra) {
-        val news = era.isAfter(copy.next.era) && era.isAfter(heardEra)
+        val news = era.isAfter(copy.next.era) && era != heardEra
         if (!news || asOf == null || reader.loading) return
         heardEra = era
         scheduled?.cancel(false)
@@ -242,8 +243,9 @@
             if (outcome.load.beginsEra) {
                 missed.clear()
                 logNewEra(name, copy, outcome.load)
-                onNewEra()
             }
+            // What this process wrote before its first load may have been lost as well.
+            if (outcome.load.beginsEra || outcome.load.isFirst) onLoaded()
             // A single page shows the state at its end, so that the next regular read is soon enough.
             val upToDate = sharesRecords && outcome.load.pages == 1
             if (upToDate) onUpToDate() else reader.read(0, StoreCallCause.FOLLOW_UP)
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/SilentStoreTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/SilentStoreTest.kt
@@ -35,7 +35,7 @@
             records++
             silent = false
             val backMs = nowMs
-            while (follower.end.precedes(at(records)) && nowMs - backMs < LONGEST_SILENCE_MS) advance(STEP_MS)
+            while (!follower.end.reaches(at(records)) && nowMs - backMs < LONGEST_SILENCE_MS) advance(STEP_MS)
             (nowMs - backMs).also { advance(LONGEST_SILENCE_MS) }
         }.filterValues { it >= CONTACT_MS }
 
