Never move a roll-out's status back to one that the store has from an older copy

Cause, found by the review: a router that rejoined after the store had come back held the newer status back and could write its old one over it, since the topic's end was what it had read (scratch test: ROLLED_BACK overwritten by TRIAL).

Change: a status follows the earlier phases of its own order, whatever the store says; statuses need not be held back, and are written again where the store has an earlier one, staggered by rank, so that a router that knows none doesn't stop the others.

No test plays a roll-out across a return of the store.

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/Rollout.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/rollout/Rollout.kt
@@ -40,4 +40,8 @@
     val phase: RolloutPhase,
     val startedWallClockMs: Long,
     val decidedBy: String,
-)
+) {
+    /** Whether [other] is an earlier status of the same order, which a store has that lost this one. */
+    public fun follows(other: RolloutStatus): Boolean =
+        orderId == other.orderId && !other.phase.ended && phase > other.phase
+}
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/RelayRouter.kt
@@ -93,6 +93,7 @@
     private val rolloutInbox = RolloutInbox(
         { record -> rollouts?.reader?.onRecord(record) ?: (source.rollouts?.statusPool(record.key) != null) },
         { peer, digests -> rollouts?.reader?.onDigests(peer, digests) },
+        { key -> source.rollouts?.statusPool(key) != null },
     )
     private val suspects = CrashSuspects(wallClock) { peers.share(it) }
     private val partSuspects = PartSuspects(wallClock)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/LostStatuses.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/LostStatuses.kt
@@ -3,20 +3,31 @@
 import corneltrack.policy.rollout.RolloutStatus
 import corneltrack.world.PoolId
 
+/** How much longer each further router waits, in ms, until it writes a lost status again. */
+private const val REWRITE_STAGGER_MS = 300L
+
 /** Finds the statuses that the store lost as it came back from an older copy. Only used on the event loop. */
 internal class LostStatuses(private val parts: RolloutParts) {
     private val follower = parts.link.statuses.follower
+    private var lostSinceMs: Long? = null
 
-    /** Returns a status for this router to write again; null if none was lost, or another router will write it. */
+    /** Returns a status for this router to write again; null if none was lost, or it is another router's turn. */
     fun next(): Pair<PoolId, RolloutStatus>? {
+        val nowMs = parts.clock().monotonicMs
         val lost = parts.all.firstNotNullOfOrNull { rollout ->
-            rollout.status?.takeIf { !isRecorded(rollout.pool) }?.let { rollout.pool to it }
+            rollout.status?.takeIf { isLost(rollout.pool, it, nowMs) }?.let { rollout.pool to it }
         }
-        return lost?.takeIf { isFirst() }
+        val sinceMs = if (lost == null) null else lostSinceMs ?: nowMs
+        lostSinceMs = sinceMs
+        return lost?.takeIf { sinceMs != null && nowMs - sinceMs >= REWRITE_STAGGER_MS * rank(nowMs) }
     }
 
-    private fun isRecorded(pool: PoolId) = follower.records.isRecorded(parts.records.statusKey(pool), follower.end.era)
+    private fun isLost(pool: PoolId, status: RolloutStatus, nowMs: Long): Boolean {
+        val key = parts.records.statusKey(pool)
+        val stored = follower.records.of(key, nowMs)?.value?.let(parts.records.decodeStatus)
+        return !follower.records.isRecorded(key, follower.end.era) || stored != null && status.follows(stored)
+    }
 
-    private fun isFirst() = parts.link.contacts(parts.clock().monotonicMs)
-        .none { it.id.value < parts.settings.id.value && it.responsive }
+    private fun rank(nowMs: Long) =
+        parts.link.contacts(nowMs).count { it.id.value < parts.settings.id.value && it.responsive }
 }
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/RolloutRecordReader.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/RolloutRecordReader.kt
@@ -39,7 +39,12 @@
         val pool = parts.records.statusPool(record.key) ?: return false
         val value = record.value
         val status = value?.let(parts.records.decodeStatus)
-        if (value != null && status == null) parts.log.statusUnreadable(pool) else onStatus(pool, status)
+        when {
+            value != null && status == null -> parts.log.statusUnreadable(pool)
+            // The store came back from an older copy.
+            status != null && parts.of(pool).status?.follows(status) == true -> Unit
+            else -> onStatus(pool, status)
+        }
         return true
     }
 
