Prove the age of a peer's watermark by an echo, so that a clock that is ahead hides no delay

Cause: the age of a watermark counted as the larger of what it states and the difference of two machines' wall clocks. Where the peer's clock is ahead, a datagram that waited looked up to the difference too young, and an old copy was called current.

Change: routers send a numbered stamp with the load digests to their region; watermarks return to each recipient its last stamp and how long it was held. The recipient's own clock then bounds how long the watermark was under way (ClockEchoes, pure). The echo is a field appended to the digest, which is still encoded once. Peers without echoes count as before; those that return none of our stamps yet announce changes and confirm nothing. TopicFollower is not changed.

The simulation delivers stamps within its 10 ms steps, at the 1 to 2 ms of its network.

--- a/corneltrack-policy/src/main/kotlin/corneltrack/policy/discovery/TopicWatermark.kt
+++ b/corneltrack-policy/src/main/kotlin/corneltrack/policy/discovery/TopicWatermark.kt
@@ -9,6 +9,9 @@
 private const val TAKEOVER_STAGGER_MS = 100L
 private const val MAXIMUM_STAGGERED_RANK = 6
 
+/** Stands for an age that is not known, in ms: older than any copy that a router has confirmed itself. */
+private const val UNKNOWN_AGE_MS = Long.MAX_VALUE / 4
+
 /**
  * Describes to peers how far and how recently a router has read a topic of the store.
  *
@@ -42,8 +45,23 @@
      * arrives at [now].
      *
      * The watermark may have been delayed on its way, so the larger of [ageMs] and its age by the wall clock counts.
+     * This proves nothing where the wall clock of the sender is ahead: see [delayedBy] for peers that echo stamps.
      */
     public fun asOf(now: ClockReading): ClockReading = now.plus(-maxOf(ageMs, now.wallClockMs - asOfWallClockMs))
+
+    /**
+     * Returns this watermark, which arrives at [now], with its age at the arrival by [delayMs] instead of by the wall
+     * clocks of two machines.
+     *
+     * The result says the same of positions. Its age is one that confirms nothing if [delayMs] is null: the peer could
+     * prove the age and does not, as after its start or after losses, and does so with one of its next watermarks.
+     *
+     * @param delayMs the time that the watermark was under way at most, in ms (see [ClockEchoes]); null if not known.
+     */
+    public fun delayedBy(delayMs: Long?, now: ClockReading): TopicWatermark {
+        val arrivalAgeMs = delayMs?.let { ageMs.coerceIn(0, UNKNOWN_AGE_MS) + it } ?: UNKNOWN_AGE_MS
+        return copy(ageMs = arrivalAgeMs, asOfWallClockMs = now.wallClockMs - arrivalAgeMs)
+    }
 }
 
 /**
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/DigestSender.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/DigestSender.kt
@@ -1,5 +1,6 @@
 package corneltrack.router.relay
 
+import corneltrack.policy.discovery.StampEcho
 import corneltrack.policy.limits.LimitObservation
 import corneltrack.policy.placement.WorkspaceRate
 import corneltrack.wire.HostAndPort
@@ -31,13 +32,17 @@
     /** The UDP socket; nothing is sent while it is null. */
     var channel: Channel? = null
 
-    /** Sends the load of this router to those [recipients] that are due; once to other regions while it is idle. */
-    fun sendDueLoads(recipients: Recipients, nowMs: Long) {
+    /**
+     * Sends the load of this router to those [recipients] that are due; once to other regions while it is idle.
+     *
+     * @param stamp the stamp for the peers of the region.
+     */
+    fun sendDueLoads(recipients: Recipients, stamp: Long, nowMs: Long) {
         val rates = load.shares.ownRates(nowMs)
         val idle = rates.isEmpty() && load.states.all().none { (id, state) ->
             state.engine.ownLoad.running > 0 || load.states.hasRecentStatement(id, state, nowMs)
         }
-        sendLoad(recipients.inRegion, nowMs, rates)
+        sendLoad(recipients.inRegion, nowMs, rates, stamp)
         if (!idle || !idleDigestSent) sendLoad(recipients.crossRegion, nowMs, rates)
         idleDigestSent = idle
     }
@@ -47,22 +52,33 @@
         group: RecipientGroup,
         nowMs: Long,
         rates: Map<WorkspaceId, WorkspaceRate> = load.shares.ownRates(nowMs),
+        stamp: Long = 0,
     ) {
         if (group.peers.isEmpty()) return
         val endpoints = load.states.digests(group, nowMs)
         val workspaces = rates.map { (id, rate) -> id.value to rate.toDigest() }.toMap()
-        send(PeerDigest(id.value, endpoints, workspaces, router = shared.routerLoad()), group.peers)
+        send(PeerDigest(id.value, endpoints, workspaces, router = shared.routerLoad(), stamp = stamp), group.peers)
     }
 
     /** Sends [digest] to [recipients]. */
     fun send(digest: PeerDigest, recipients: Collection<PeerRecord>) {
-        val current = channel ?: return
         if (recipients.isEmpty()) return
         val bytes = wireProtobuf.encodeToByteArray(digest)
-        recipients.mapNotNull { HostAndPort.parse(it.address) }.filter { it.isReachable }.forEach { address ->
-            current.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), address.toSocketAddress()))
-        }
-        current.flush()
+        recipients.forEach { write(bytes, it) }
+        channel?.flush()
+    }
+
+    /** Sends [digest] to [recipients], each with its [echo]. */
+    fun sendWithEchoes(digest: PeerDigest, recipients: Map<InstanceId, PeerRecord>, echo: (InstanceId) -> StampEcho) {
+        if (recipients.isEmpty()) return
+        val bytes = wireProtobuf.encodeToByteArray(digest)
+        recipients.forEach { (id, peer) -> write(bytes.withEcho(echo(id)), peer) }
+        channel?.flush()
+    }
+
+    private fun write(bytes: ByteArray, recipient: PeerRecord) {
+        val address = HostAndPort.parse(recipient.address)?.takeIf { it.isReachable } ?: return
+        channel?.write(DatagramPacket(Unpooled.wrappedBuffer(bytes), address.toSocketAddress()))
     }
 }
 
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerDigest.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerDigest.kt
@@ -3,13 +3,17 @@
 import corneltrack.policy.CrashReport
 import corneltrack.policy.PartAnswered
 import corneltrack.policy.Suspicion
+import corneltrack.policy.discovery.StampEcho
 import corneltrack.policy.discovery.TopicWatermark
 import corneltrack.policy.rollout.BadReason
 import corneltrack.policy.rollout.EvidenceSnapshot
 import corneltrack.policy.rollout.RolloutPhase
+import corneltrack.wire.wireProtobuf
 import corneltrack.world.PoolId
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.encodeToByteArray
 import kotlinx.serialization.protobuf.ProtoIntegerType
+import kotlinx.serialization.protobuf.ProtoNumber
 import kotlinx.serialization.protobuf.ProtoPacked
 import kotlinx.serialization.protobuf.ProtoType
 
@@ -114,6 +118,9 @@
     val evidence: EvidenceSnapshot? = null,
 )
 
+/** The number of [PeerDigest.echo] on the wire. */
+private const val ECHO_FIELD = 12
+
 /**
  * A datagram from a router to its peers.
  *
@@ -128,6 +135,9 @@
  * @property watermarks how far the router has read each topic of the store, by topic name.
  * @property records the records that belong to [watermarks]; null in digests of routers that share none.
  * @property rollouts the roll-outs that are open; empty in fleets that have none.
+ * @property stamp a number that the peers of the region return with their watermarks; 0 in digests without one.
+ * @property echo what the sender returns to the recipient, so that the age of [watermarks] can be proven; null in
+ *   digests without watermarks and in those of routers that return nothing.
  */
 @Serializable
 internal data class PeerDigest(
@@ -141,12 +151,23 @@
     val router: RouterDigest? = null,
     val records: SharedRecords? = null,
     val rollouts: List<RolloutDigest> = emptyList(),
+    val stamp: Long = 0,
+    @ProtoNumber(ECHO_FIELD) val echo: StampEcho? = null,
 ) {
     val carriesLoad: Boolean
         get() = suspicions.isEmpty() && watermarks.isEmpty() && crashes.isEmpty() && answered.isEmpty() &&
             rollouts.isEmpty()
 }
 
+@Serializable
+private class EchoField(@ProtoNumber(ECHO_FIELD) val echo: StampEcho)
+
+/**
+ * Returns this encoded [PeerDigest] with [echo], which differs between recipients while the rest is encoded once:
+ * fields of a message may follow each other in any order.
+ */
+internal fun ByteArray.withEcho(echo: StampEcho): ByteArray = this + wireProtobuf.encodeToByteArray(EchoField(echo))
+
 /**
  * The record in the store by which a router announces itself to its peers; the key is its ID.
  *
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerExchange.kt
@@ -176,8 +176,10 @@
 
     private fun onTick() {
         watermarks.alignEras()
-        sender.sendDueLoads(peers.recipients(digestNumber++), clock().monotonicMs)
-        watermarks.dueDigests(settings.id.value).forEach { sender.send(it, peers.inRegion) }
+        sender.sendDueLoads(peers.recipients(digestNumber++), watermarks.stamp(), clock().monotonicMs)
+        watermarks.dueDigests(settings.id.value).forEach {
+            sender.sendWithEchoes(it, peers.inRegion) { peer -> watermarks.echo(peer.value) }
+        }
         shared.partSuspects.dueReports(settings.id.value)?.let { sender.send(it, peers.all) }
     }
 
@@ -187,8 +189,7 @@
         if (!peers.admits(peer, bytes)) return
         peers.onDigest(peer, digest.router, nowMs)
         digest.suspicions.forEach(onSuspicion)
-        val listed = peers.isInRegion(peer)
-        watermarks.onPeer(digest.sender, digest.watermarks, listed, digest.records?.takeIf { listed })
+        watermarks.onPeer(digest, listed = peers.isInRegion(peer))
         shared.partSuspects.onPeer(digest)
         if (digest.rollouts.isNotEmpty()) shared.rollouts.onDigest(peer, digest.rollouts)
         if (digest.carriesLoad) peerLoads.onDigest(peer, digest, nowMs)
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerTable.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/PeerTable.kt
@@ -52,8 +52,8 @@
     /** The position of this router among all known ones, sorted by ID. */
     val position: Int get() = peers.keys.count { it.value < settings.id.value }
 
-    /** The known peers of this region. */
-    val inRegion: Collection<PeerRecord> get() = peers.values.filter { it.isInRegion() }
+    /** The known peers of this region, by ID. */
+    val inRegion: Map<InstanceId, PeerRecord> get() = peers.filterValues { it.isInRegion() }
 
     /** Whether [peer] is a known router of this region. */
     fun isInRegion(peer: InstanceId): Boolean = peers[peer]?.isInRegion() ?: false
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/WatermarkExchange.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/WatermarkExchange.kt
@@ -1,20 +1,36 @@
 package corneltrack.router.relay
 
+import corneltrack.policy.discovery.ClockEchoes
 import corneltrack.policy.discovery.Clocks
+import corneltrack.policy.discovery.StampEcho
 import corneltrack.policy.discovery.StoreEra
 import corneltrack.policy.discovery.SuspensionDetector
 import corneltrack.policy.discovery.TopicWatermark
+import kotlin.random.Random
 
 /** The interval at which unchanged watermarks are sent again, in ms. */
 private const val PERIOD_MS = 250L
 
+/** Large enough that the stamps of two processes of a router differ, and small enough for six bytes on the wire. */
+private const val STAMP_RANGE = 1L shl 40
+
 /**
  * Decides when to send this router's watermarks to the peers of its region, and applies those of the peers.
  *
+ * The routers of a region send each other stamps and return them with their watermarks, so that each knows by its own
+ * clock how long a watermark was under way at most. Those of a peer that returns none, an older version, count by the
+ * wall clocks of the two machines. Those of a peer that returns stamps, but not yet one of this router, announce
+ * changes and confirm nothing: with 30 routers each gets a stamp from each other one every half second, so that one of
+ * the next watermarks is proven, and a router whose copy is overdue until then reads the store.
+ *
  * Ignores watermarks for a while after this machine was suspended: they may have been queued meanwhile and would make
  * the cached state look fresher than it is.
  */
-internal class WatermarkExchange(private val clock: Clocks, private val followers: () -> List<TopicFollower>) {
+internal class WatermarkExchange(
+    private val clock: Clocks,
+    private val echoes: ClockEchoes = ClockEchoes(Random.nextLong(1, STAMP_RANGE)),
+    private val followers: () -> List<TopicFollower>,
+) {
     private val suspensions = SuspensionDetector()
     private var sentMs = 0L
     private var sentChanges: Map<String, Long> = emptyMap()
@@ -50,22 +66,28 @@
         return watermarks
     }
 
+    /** Returns the stamp to send now to the peers of the region. */
+    fun stamp(): Long = echoes.stamp(clock())
+
+    /** Returns what to return to [peer] with the digests that [dueDigests] returned last. */
+    fun echo(peer: String): StampEcho = echoes.echo(peer, sentMs)
+
     /**
-     * Applies the [watermarks] of [peer], by topic name.
+     * Applies the watermarks and the stamp in the [digest] of a peer.
      *
-     * @param listed whether the store lists the peer in this region; only then its word about a new era counts.
-     * @param records what the peer sent with them, or null if it shares no records or is not listed in the region.
+     * @param listed whether the store lists the peer in this region; only then its word about a new era, its records
+     *   and its stamp count.
      */
-    fun onPeer(
-        peer: String,
-        watermarks: Map<String, TopicWatermark>,
-        listed: Boolean,
-        records: SharedRecords? = null,
-    ) {
-        if (watermarks.isEmpty() || !suspensions.isSettled(clock())) return
-        if (listed) watermarks.values.forEach { onEra(it.era) }
+    fun onPeer(digest: PeerDigest, listed: Boolean) {
+        val now = clock()
+        if (listed) echoes.onStamp(digest.sender, digest.stamp, now.monotonicMs)
+        if (digest.watermarks.isEmpty() || !suspensions.isSettled(now)) return
+        if (listed) digest.watermarks.values.forEach { onEra(it.era) }
+        val records = digest.records?.takeIf { listed }
         followers().forEach { topic ->
-            watermarks[topic.name]?.let { topic.onWatermark(it, records.takeIf { topic.sharesRecords }, peer) }
+            val watermark = digest.watermarks[topic.name] ?: return@forEach
+            val proven = digest.echo?.let { watermark.delayedBy(echoes.maximumDelayMs(it, now), now) } ?: watermark
+            topic.onWatermark(proven, records.takeIf { topic.sharesRecords }, digest.sender)
         }
     }
 }
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/PeerExchangeTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/PeerExchangeTest.kt
@@ -1,6 +1,7 @@
 package corneltrack.router.relay
 
 import corneltrack.policy.discovery.ClockReading
+import corneltrack.policy.discovery.StampEcho
 import corneltrack.router.monotonicClock
 import corneltrack.router.wallClock
 import corneltrack.wire.HostAndPort
@@ -10,6 +11,7 @@
 import corneltrack.world.RegionId
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
+import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
 import java.net.DatagramPacket
 import java.net.DatagramSocket
@@ -21,6 +23,7 @@
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertTrue
 
 private const val PEERS = 100
 
@@ -97,6 +100,32 @@
         assertEquals(1, exchange.known)
     }
 
+    @Test
+    fun `a peer of the region gets stamps and with watermarks the stamp that it sent`() =
+        DatagramSocket(0, InetAddress.getLoopbackAddress()).use { peer ->
+            peer.soTimeout = TimeUnit.SECONDS.toMillis(TIMEOUT_S).toInt()
+            topic.put("second", """{"dataCentre":"here","address":"127.0.0.1:${peer.localPort}"}""")
+            exchange.start()
+            val first = peer.receiveUntil { it.watermarks.isNotEmpty() }
+            assertEquals(StampEcho(), first.echo, "no stamp has been sent")
+            val stamps = List(2) { peer.receiveUntil { it.carriesLoad }.stamp }
+            assertTrue(stamps[0] in 1 until stamps[1], "$stamps")
+            val bytes = wireProtobuf.encodeToByteArray(PeerDigest("second", stamp = 77))
+            peer.send(DatagramPacket(bytes, bytes.size, InetAddress.getLoopbackAddress(), port))
+
+            val echo = peer.receiveUntil { (it.echo?.stamp ?: 0) > 0 }.echo
+
+            assertEquals(77, echo?.stamp)
+        }
+
+    private fun DatagramSocket.receiveUntil(condition: (PeerDigest) -> Boolean): PeerDigest {
+        while (true) {
+            val packet = DatagramPacket(ByteArray(16_384), 16_384).also(::receive)
+            val digest = wireProtobuf.decodeFromByteArray<PeerDigest>(packet.data.copyOf(packet.length))
+            if (condition(digest)) return digest
+        }
+    }
+
     /** Keeps the loop busy, so that it reads from its sockets once, and then runs [action]. */
     private fun stayBusy(action: () -> Unit) {
         val untilMs = monotonicClock() + TASK_MS
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RegionSimulation.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RegionSimulation.kt
@@ -1,6 +1,8 @@
 package corneltrack.router.relay
 
+import corneltrack.policy.discovery.ClockEchoes
 import corneltrack.policy.discovery.ClockReading
+import corneltrack.policy.discovery.isDigestDue
 import corneltrack.wire.wireProtobuf
 import io.netty.channel.embedded.EmbeddedChannel
 import kotlinx.serialization.decodeFromByteArray
@@ -16,6 +18,13 @@
 private const val MAXIMUM_READING_ROUTERS = 8
 private const val MAXIMUM_DELAY_MS = 30
 private const val SLOW_DELAY_MS = 1_000
+
+/** By how much the monotonic clocks of two processes differ, in ms. */
+private const val MONOTONIC_ORIGIN_MS = 10_000_000L
+
+/** The peers that one digest of a router's load, which carries its stamp, goes to. */
+private const val STAMPED_PEERS = 6
+private const val STAMP_RANGE = 1L shl 40
 private const val MAXIMUM_DATAGRAM_BYTES = 16_384
 
 /**
@@ -50,17 +59,30 @@
     private class Datagram(val dueMs: Long, val to: Int, val bytes: ByteArray)
 
     private val random = Random(seed)
+
+    /** Of its own, so that stamps don't change in which order watermarks arrive. */
+    private val stampRandom = Random(seed)
     private val channel = EmbeddedChannel().apply { freezeTime() }
     private val datagrams = ArrayList<Datagram>()
     private val logs =
         listOf("operator", "endpoints", "peers").associateWith { SimulatedLog(channel.eventLoop(), ::nowMs) }
     private var incarnations = 0
+    private var processes = 0
+
+    /**
+     * While a stamp arrives, when it does within the step of the clock, so that its way takes what [Network] says and
+     * not the whole step; the bound by an echo is as much tighter, which [checkAges] judges.
+     */
+    private var stampArrivalMs: Long? = null
     var nowMs = 50_000L
         private set
 
     /** By how much the wall clocks of routers are ahead of the true time, in ms, by index. */
     val wallClocksAheadMs = HashMap<Int, Long>()
 
+    /** The indexes of the routers that neither send nor return stamps and skip both in what they receive. */
+    val oldRouters = HashSet<Int>()
+
     /** Called before each step of the clock. */
     var onStep: () -> Unit = {}
 
@@ -96,9 +118,17 @@
             follower("endpoints", PollTiming(waitMs = 0, delayMs = 1_000), sharing),
             follower("peers", PollTiming(waitMs = 10_000, delayMs = 500), sharing),
         )
-        val exchange = WatermarkExchange(::reading) { followers }
+        private val originMs = MONOTONIC_ORIGIN_MS * processes++
+        private var ticks = 0L
+        val exchange = WatermarkExchange(::reading, ClockEchoes(stampRandom.nextLong(1, STAMP_RANGE))) { followers }
+
+        /** Whether this router is of a version that knows no stamps. */
+        private val old get() = index in oldRouters
 
-        private fun reading() = ClockReading(nowMs, nowMs + (wallClocksAheadMs[index] ?: 0))
+        private fun reading(): ClockReading {
+            val atMs = stampArrivalMs ?: nowMs
+            return ClockReading(atMs - originMs, atMs + (wallClocksAheadMs[index] ?: 0))
+        }
 
         fun follower(name: String) = followers.first { it.name == name }
 
@@ -117,18 +147,29 @@
 
         fun tick() {
             lastSentMs = nowMs
+            val peers = routers.filter { it.index != index }
+            val stamp = wireProtobuf.encodeToByteArray(PeerDigest(id, stamp = exchange.stamp()))
+            val tick = ticks++
+            peers.filterIndexed { place, _ -> isDigestDue(tick, place, peers.size, STAMPED_PEERS, interval = 1) }
+                .forEach { if (!old) send(it.index, stamp, stampRandom) }
             exchange.dueDigests(id).forEach { digest ->
                 val bytes = wireProtobuf.encodeToByteArray(digest)
-                largestDatagram = maxOf(largestDatagram, bytes.size)
-                sentBytes += bytes.size * (routers.size - 1L)
-                routers.filter { it.index != index }.forEach { send(it.index, bytes) }
+                peers.forEach { peer ->
+                    val sent = if (old) bytes else bytes.withEcho(exchange.echo(peer.id))
+                    largestDatagram = maxOf(largestDatagram, sent.size)
+                    sentBytes += sent.size
+                    send(peer.index, sent)
+                }
             }
         }
 
-        fun onDatagram(bytes: ByteArray) {
-            val digest = wireProtobuf.decodeFromByteArray<PeerDigest>(bytes)
+        fun onDatagram(bytes: ByteArray, arrivalMs: Long = nowMs) {
+            val received = wireProtobuf.decodeFromByteArray<PeerDigest>(bytes)
+            val digest = if (old) received.copy(stamp = 0, echo = null) else received
             val listed = digest.sender in states.getValue("peers")
-            exchange.onPeer(digest.sender, digest.watermarks, listed, digest.records?.takeIf { listed })
+            stampArrivalMs = arrivalMs.takeIf { digest.watermarks.isEmpty() }
+            exchange.onPeer(digest, listed)
+            stampArrivalMs = null
         }
 
         fun start() {
@@ -186,7 +227,7 @@
         if (due && state != null && !endpointLog.unavailable) endpointLog.put(key, state)
     }
 
-    private fun send(to: Int, bytes: ByteArray) = intercept(to, bytes).forEach { sent ->
+    private fun send(to: Int, bytes: ByteArray, random: Random = this.random) = intercept(to, bytes).forEach { sent ->
         val copies = if (random.nextDouble() < network.repetitionRate) 2 else 1
         repeat(copies) {
             val lost = random.nextDouble() < network.lossRate
@@ -198,7 +239,7 @@
     private fun deliver() {
         val due = datagrams.filter { it.dueMs <= nowMs }.sortedBy { it.dueMs }
         datagrams.removeAll(due.toSet())
-        due.forEach { datagram -> routers[datagram.to].takeIf { it.running }?.onDatagram(datagram.bytes) }
+        due.forEach { routers[it.to].takeIf(Router::running)?.onDatagram(it.bytes, it.dueMs) }
     }
 
     private fun checkAges() =
