--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RegionSimulation.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/RegionSimulation.kt
@@ -1,6 +1,7 @@
 package corneltrack.router.relay
 
 import corneltrack.policy.discovery.ClockReading
+import corneltrack.policy.discovery.EraTracker
 import corneltrack.wire.wireProtobuf
 import io.netty.channel.embedded.EmbeddedChannel
 import kotlinx.serialization.decodeFromByteArray
@@ -14,21 +15,36 @@
 private const val HEARTBEAT_MS = 1_000L
 private const val SILENCE_MS = 1_500L
 private const val MAXIMUM_READING_ROUTERS = 8
+private const val ANNOUNCE_RETRY_MS = 1_000L
 private const val MAXIMUM_DELAY_MS = 30
 private const val MAXIMUM_DATAGRAM_BYTES = 16_384
 
+/** The age below which a router takes its copy for current, in ms. */
+private const val CURRENT_AGE_MS = 2_400L
+
+/** The time after which a router that takes its copy for current must know what was written, in ms. */
+private const val KNOWN_AFTER_MS = 3_000L
+
 /** How the simulated network treats datagrams. */
 internal data class Network(val lossRate: Double = 0.0, val repetitionRate: Double = 0.0, val delayMs: Int = 2)
 
 internal val UNRELIABLE = Network(lossRate = 0.2, repetitionRate = 0.2, delayMs = MAXIMUM_DELAY_MS)
 
+/**
+ * What a router took for current although something else had been written long before.
+ *
+ * @property proof by what the router took it for current, and where it knew the key from.
+ */
+internal class Outdated(val what: String, val proof: String)
+
 /** A call to the store, or the announcement of a router. */
 internal data class StoreCall(val topic: String, val cause: String)
 
 /**
  * Simulates the routers of a region that follow the store's topics and send each other datagrams.
  *
- * Checks all the time that no router's state claims to be fresher than it is.
+ * Checks all the time that no router's state claims to be fresher than it is; after the store came back from a copy,
+ * [outdated] and [setBacks] state what is wrong.
  */
 internal class RegionSimulation(
     count: Int,
@@ -36,6 +52,7 @@
     private val network: Network = Network(),
     private val endpoints: Int = 20,
     seed: Int = 1,
+    answers: StoreAnswers = StoreAnswers(),
 ) {
     private class Datagram(val dueMs: Long, val to: Int, val bytes: ByteArray)
 
@@ -43,7 +60,7 @@
     private val channel = EmbeddedChannel().apply { freezeTime() }
     private val datagrams = ArrayList<Datagram>()
     private val logs =
-        listOf("operator", "endpoints", "peers").associateWith { SimulatedLog(channel.eventLoop(), ::nowMs) }
+        listOf("operator", "endpoints", "peers").associateWith { SimulatedLog(channel.eventLoop(), answers, ::nowMs) }
     private var incarnations = 0
     var nowMs = 50_000L
         private set
@@ -58,6 +75,7 @@
 
     /** The bytes of the datagrams that routers sent with watermarks. */
     var sentBytes = 0L
+    val operatorLog = logs.getValue("operator")
     val endpointLog = logs.getValue("endpoints")
     val peerLog = logs.getValue("peers")
 
@@ -67,15 +85,34 @@
     /** The records that routers took from peers. */
     var taken = 0
 
+    /** The states that routers showed although they had shown newer ones. */
+    val setBacks = ArrayList<String>()
+    private var returned = false
+
     inner class Router(val index: Int) {
         val id = "router-${(index + 10)}"
         var access = StoreAccess.SERVED
         val running get() = access == StoreAccess.SERVED || access == StoreAccess.REFUSED
         var lastSentMs = nowMs
         val states = logs.mapValues { HashMap<String, String>() }
+        private val eras = EraTracker()
+        private val incarnation = incarnations++
+        private var lastCause: StoreCallCause? = null
+
+        /** The latest version of each key that this router has shown, by topic. */
+        private val shown = logs.mapValues { HashMap<String, Int>() }
+
+        /** The keys whose state changed since the last call of [show], by topic. */
+        private val touched = logs.mapValues { HashSet<String>() }
+
+        /** The loads that began because the store came back, by topic. */
+        val eraLoads = HashMap<String, Int>()
         private val sharing = RecordSharing(
             { shares && states.getValue("peers").size > MAXIMUM_READING_ROUTERS },
-            { topic, cause -> if (access != StoreAccess.ENDED) count(StoreCall(topic, cause.name)) },
+            { topic, cause ->
+                lastCause = cause
+                if (access != StoreAccess.ENDED) count(StoreCall(topic, cause.name))
+            },
             { _, records -> taken += records },
         )
         val followers = listOf(
@@ -88,19 +125,76 @@
         fun follower(name: String) = followers.first { it.name == name }
 
         private fun follower(name: String, timing: PollTiming, sharing: RecordSharing): TopicFollower {
-            val topic = logs.getValue(name).topic { access }
-            val followed = FollowedTopic(name, topic, timing)
+            val topic = logs.getValue(name).topic(eras) { access }
+            val counted = KeyedTopic(
+                newest = { after, timeoutMs, onResponse ->
+                    if (after == null && lastCause == StoreCallCause.NEW_ERA) eraLoads.merge(name, 1, Int::plus)
+                    topic.newest(after, timeoutMs, onResponse)
+                },
+                read = topic.read,
+                write = topic.write,
+            )
+            val followed = FollowedTopic(name, counted, timing, onNewEra = { if (name == "peers") announceAgain() })
             return TopicFollower(followed, channel.eventLoop(), ::reading, ::rank, sharing) { record ->
                 val known = states.getValue(name)
-                val state = record.value?.let { String(it).substringBefore(' ') }
+                val state = record.value?.let(::stateOf)
                 val previous = if (state == null) known.remove(record.key) else known.put(record.key, state)
+                if (previous != state) touched.getValue(name) += record.key
                 previous != state
             }
         }
 
+        /** Records which versions this router shows now; what it shows within a step of the clock nobody sees. */
+        fun show() = logs.filterKeys { it != "peers" }.forEach { (topic, log) ->
+            val versions = shown.getValue(topic)
+            touched.getValue(topic).forEach { key ->
+                val state = states.getValue(topic)[key]
+                val last = versions[key] ?: -1
+                val history = log.history.getValue(key)
+                val version = history.indices.firstOrNull { it >= last && history[it].state == state }
+                if (version != null) versions[key] = version
+                if (version == null) setBacks += "$id at $nowMs: $key went from ${history[last].state} to $state"
+            }
+            touched.getValue(topic).clear()
+        }
+
+        private fun announceAgain() {
+            val follower = follower("peers")
+            when {
+                access == StoreAccess.ENDED || follower.records.isRecorded(id, follower.end.era) -> Unit
+                access == StoreAccess.SERVED && !peerLog.unavailable -> peerLog.put(id, "here$incarnation")
+                else -> channel.eventLoop().schedule(::announceAgain, ANNOUNCE_RETRY_MS, TimeUnit.MILLISECONDS)
+            }
+        }
+
+        /** Whether the store lost the state of a key that this router never knew, and nobody can tell it yet. */
+        private fun cannotKnow(topic: String, key: String): Boolean {
+            val loss = logs.getValue(topic).losses[key] ?: return false
+            val written = loss.writtenMs
+            return (shown.getValue(topic)[key] ?: -1) < loss.version &&
+                (written == null || nowMs - written <= KNOWN_AFTER_MS)
+        }
+
+        /** Returns what this router takes for current in [topic] although it has been something else for long. */
+        fun outdated(topic: String): List<Outdated> {
+            val ageMs = follower(topic).ageMs
+            if (ageMs == null || ageMs >= CURRENT_AGE_MS) return emptyList()
+            val known = states.getValue(topic)
+            return logs.getValue(topic).history.filter { (key, history) ->
+                known[key] !in history.since(nowMs - KNOWN_AFTER_MS) && !cannotKnow(topic, key)
+            }.map { (key, history) ->
+                val position = follower(topic).records.of(key, nowMs)?.position
+                Outdated(
+                    "$id: $key of $topic is ${known[key]}, not ${history.last()}",
+                    "age $ageMs, ${follower(topic).confirmation}, key known at $position",
+                )
+            }
+        }
+
         private fun rank() = routers.count { it.index < index && nowMs - it.lastSentMs < SILENCE_MS }
 
         fun tick() {
+            exchange.alignEras()
             lastSentMs = nowMs
             exchange.dueDigests(id).forEach { digest ->
                 val bytes = wireProtobuf.encodeToByteArray(digest)
@@ -118,7 +212,7 @@
 
         fun start() {
             followers.forEach { it.start() }
-            peerLog.put(id, "here${incarnations++}")
+            peerLog.put(id, "here$incarnation")
             count(StoreCall("peers", "ANNOUNCEMENT"))
         }
     }
@@ -126,7 +220,7 @@
     val routers: MutableList<Router> = ArrayList()
 
     init {
-        logs.getValue("operator").put("table", "one")
+        operatorLog.put("table", "one")
         repeat(endpoints) { endpointLog.put("endpoint-$it", "ready") }
         repeat(count) { routers += Router(it) }
         routers.forEach { it.start() }
@@ -146,6 +240,15 @@
         routers[index] = Router(index).also { it.start() }
     }
 
+    /** Has the whole store take the copy from which [restore] comes back. */
+    fun takeCopy() = logs.values.forEach { it.takeCopy() }
+
+    /** Has the whole store come back from its copy; see [SimulatedLog.restore]. */
+    fun restore(dropsPolls: Boolean) {
+        returned = true
+        logs.values.forEach { it.restore(dropsPolls) }
+    }
+
     fun setUnavailable(unavailable: Boolean) = logs.values.forEach { it.unavailable = unavailable }
 
     fun change(key: String, state: String?) = endpointLog.put(key, state)
@@ -160,7 +263,8 @@
             logs.values.forEach { it.advance() }
             deliver()
             routers.filter { it.running && (nowMs + it.index * STEP_MS) % TICK_MS == 0L }.forEach { it.tick() }
-            if (nowMs % TICK_MS == 0L) checkAges()
+            routers.forEach { it.show() }
+            if (nowMs % TICK_MS == 0L && !returned) checkAges()
         }
     }
 
@@ -179,8 +283,10 @@
         }
     }
 
+    /** Datagrams wait at a router that is suspended. */
     private fun deliver() {
-        val due = datagrams.filter { it.dueMs <= nowMs }.sortedBy { it.dueMs }
+        val due = datagrams.filter { it.dueMs <= nowMs && routers[it.to].access != StoreAccess.SUSPENDED }
+            .sortedBy { it.dueMs }
         datagrams.removeAll(due.toSet())
         due.forEach { datagram -> routers[datagram.to].takeIf { it.running }?.onDatagram(datagram.bytes) }
     }
@@ -202,9 +308,16 @@
 
     /** Returns what routers that run do not know yet. */
     fun differences(): List<String> = routers.filter { it.running }.flatMap { router ->
-        val states = router.states.getValue("endpoints")
-        endpointLog.history.filter { (key, history) -> states[key] != history.last().state }
-            .map { (key, history) -> "${router.id}: $key is ${states[key]}, not ${history.last().state}" }
+        listOf("operator", "endpoints").flatMap { topic ->
+            val states = router.states.getValue(topic)
+            logs.getValue(topic).history.filter { (key, history) -> states[key] != history.last().state }
+                .map { (key, history) -> "${router.id}: $key is ${states[key]}, not ${history.last().state}" }
+        }
+    }
+
+    /** Returns what routers that run take for current although it has been something else for long. */
+    fun outdated(): List<Outdated> = routers.filter { it.running }.flatMap { router ->
+        listOf("operator", "endpoints").flatMap(router::outdated)
     }
 
     /** Checks that no datagram was too large. */
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/TopicCopyTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/TopicCopyTest.kt
@@ -1,6 +1,8 @@
 package corneltrack.router.relay
 
 import corneltrack.policy.discovery.ClockReading
+import corneltrack.policy.discovery.Confirmation
+import corneltrack.policy.discovery.ConfirmationSource
 import corneltrack.policy.discovery.StoreEra
 import corneltrack.policy.discovery.TopicWatermark
 import io.netty.channel.embedded.EmbeddedChannel
@@ -98,17 +100,78 @@
         assertEquals(mapOf("key" to "draining"), states)
     }
 
-    private fun load(end: Long, vararg records: KeyedRecord) {
+    // Operators and endpoints write again what the store lost; content must not go back meanwhile.
+    @Test
+    fun `a load of a newer era changes nothing that is known until what was lost had time to be written again`() {
+        load(end = 6, record("key", "new", 4), record("lost", "here", 5))
+
+        load(end = 3, record("key", "old", 2, era = 2), record("other", "here", 1, era = 2), era = 2)
+
+        assertEquals(mapOf("key" to "new", "lost" to "here", "other" to "here"), states)
+        confirmAfter(SETTLING_MS - 1)
+        assertEquals(mapOf("key" to "new", "lost" to "here", "other" to "here"), states)
+        confirmAfter(SETTLING_MS)
+        assertEquals(mapOf("key" to "old", "other" to "here"), states)
+    }
+
+    @Test
+    fun `a record written after the load of a newer era counts at once and what was held back no more`() {
+        load(end = 6, record("key", "new", 4), record("lost", "here", 5))
+        load(end = 3, record("key", "old", 2, era = 2), era = 2)
+
+        val written = listOf(record("key", "newer", 3, era = 2), record("lost", "here", 4, era = 2))
+        copy.read(TopicResponse.Records(written, next = at(5, era = 2), end = at(5, era = 2)))
+
+        assertEquals(mapOf("key" to "newer", "lost" to "here"), states)
+        confirmAfter(SETTLING_MS)
+        assertEquals(mapOf("key" to "newer", "lost" to "here"), states)
+    }
+
+    @Test
+    fun `neither a batch nor a watermark of another era is taken`() {
+        load(end = 5, record("key", "ready", 4, era = 2), era = 2)
+
+        listOf(1L, 3L).forEach { era ->
+            val records = listOf(SharedRecord(5, "key", "old".toByteArray()))
+            assertEquals(0, copy.take(RecordBatch(0, 9, records, era = StoreEra(era))))
+            copy.skipHeartbeats(TopicWatermark(9, 1, 0, NOW_MS, era = StoreEra(era)))
+        }
+
+        assertEquals(at(5, era = 2), copy.next)
+        assertEquals(mapOf("key" to "ready"), states)
+    }
+
+    // A peer that loaded the copy lacks the record, so that it must learn of it.
+    @Test
+    fun `the first record of a key in an era counts as a change though its content is known`() {
+        load(end = 5, record("key", "ready", 4))
+        load(end = 3, era = 2)
+
+        val written = listOf(record("key", "ready", 3, era = 2), record("key", "ready", 4, era = 2))
+        copy.read(TopicResponse.Records(written, next = at(5, era = 2), end = at(5, era = 2)))
+
+        assertEquals(at(4, era = 2), copy.lastChangeEnd)
+        assertEquals(listOf(3L), copy.batches().single().records.map { it.offset })
+    }
+
+    private fun load(end: Long, vararg records: KeyedRecord, era: Long = 1) {
         val load = copy.beginLoad()
-        copy.load(TopicResponse.Newest(records.toList(), next = null, end = at(end)), load)
+        copy.load(TopicResponse.Newest(records.toList(), next = null, end = at(end, era)), load)
         copy.finish(load)
     }
 
+    /** Confirms the copy as of [spanMs] after the loads. */
+    private fun confirmAfter(spanMs: Long) {
+        val asOf = ClockReading(NOW_MS + spanMs, NOW_MS + spanMs)
+        copy.confirm(Confirmation(asOf, ConfirmationSource.READ, copy.next))
+    }
+
     private fun apply(record: KeyedRecord): Boolean {
         val state = record.value?.let { String(it) }
         val previous = if (state == null) states.remove(record.key) else states.put(record.key, state)
         return previous != state
     }
 
-    private fun record(key: String, state: String, offset: Long) = KeyedRecord(key, state.toByteArray(), at(offset))
+    private fun record(key: String, state: String, offset: Long, era: Long = 1) =
+        KeyedRecord(key, state.toByteArray(), at(offset, era))
 }
