Hold records back only while a rise settles, and share no load until then

Change: records are held back only while what was lost is open; until then a load announces changes up to its end and is not sent as a batch.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/LostRecords.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/LostRecords.kt
@@ -23,6 +23,9 @@
     /** When what was lost counts as not written again, in ms of the monotonic clock; null if nothing is open. */
     private var settlesMs: Long? = null
 
+    /** Whether this router may know something that the store lacks. */
+    val isOpen: Boolean get() = settlesMs != null
+
     /** Records what a complete [load] showed. */
     fun onLoad(load: TopicLoad) {
         heldBack = load.heldBack.toList()
--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicCopy.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/TopicCopy.kt
@@ -122,11 +122,12 @@
     fun load(page: TopicResponse.Newest, load: TopicLoad) {
         val nowMs = clock().monotonicMs
         if (load.resume == null) load.resume = page.end
+        val mayBeOlder = lost.isOpen || page.end.era.isAfter(next.era)
         load.pages++
         page.records.forEach {
             load.keys += it.key
             if (it.position.next.supersedes(load.lastEnd)) load.lastEnd = it.position.next
-            if (deduplicator.contradicts(it, nowMs) && !reconciles(it.key)) {
+            if (mayBeOlder && deduplicator.contradicts(it, nowMs) && !reconciles(it.key)) {
                 load.heldBack += it
             } else if (deduplicator.accept(it, nowMs)) {
                 load.changes += it
@@ -145,8 +146,9 @@
         load.changes += deduplicator.retain(load.keys, end, nowMs)
         lost.onLoad(load)
         settledEnd = if (load.lastEnd.supersedes(end)) load.lastEnd else end
-        if (firstLoadEnd == null || load.beginsEra) firstLoadEnd = end
-        val known = next.offset > 0 && settledEnd == end && load.from.precedes(end)
+        if (firstLoadEnd == null || lost.isOpen) firstLoadEnd = end
+        // What is known as removed from an older era may have been removed again since, which no load shows to peers.
+        val known = next.offset > 0 && settledEnd == end && load.from.precedes(end) && !lost.isOpen
         journal.restart(settledEnd, if (known) reloadedBatch(load, end) else null, nowMs)
         next = end
         seenSince = load.startedAt
