Confirm nothing by a record of a topic that was read already

Measured: the new case of StatusWriterTest fails before and passes now; the tests of roll-outs pass.

--- a/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/TopicConfirmation.kt
+++ b/corneltrack-router/src/main/kotlin/corneltrack/router/relay/rollout/TopicConfirmation.kt
@@ -51,6 +51,9 @@
     }
 
     /** Has the follower read on to [end], the position after the topic's last record. */
-    fun readTo(end: TopicPosition) =
+    fun readTo(end: TopicPosition) {
+        // One that has read so far would take this for a peer's word that there is nothing later.
+        if (!follower.end.precedes(end)) return
         follower.onWatermark(TopicWatermark(end.offset, end.offset, 0, clock().wallClockMs, era = end.era))
+    }
 }
--- a/corneltrack-router/src/test/kotlin/corneltrack/router/relay/rollout/StatusWriterTest.kt
+++ b/corneltrack-router/src/test/kotlin/corneltrack/router/relay/rollout/StatusWriterTest.kt
@@ -45,7 +45,8 @@
         { null },
         { it.phase.name.toByteArray() },
     )
-    private val writer = StatusWriter(followed, TopicConfirmation(followed, clock), records, monotonicClock)
+    private val statuses = TopicConfirmation(followed, clock)
+    private val writer = StatusWriter(followed, statuses, records, monotonicClock)
 
     init {
         loop.execute(follower::start)
@@ -90,6 +91,17 @@
         assertTrue(onLoop { follower.end == at(0) })
     }
 
+    // Guards against a topic that counts as read to its end because its own record was read.
+    @Test
+    fun `a record that was read already confirms nothing`() {
+        val confirmed = onLoop { follower.confirmation }
+        await("a later time") { monotonicClock() > checkNotNull(confirmed).asOf.monotonicMs }
+
+        onLoop { statuses.readTo(follower.end) }
+
+        assertEquals(confirmed, onLoop { follower.confirmation })
+    }
+
     private fun write(phase: RolloutPhase): ConditionalWrite {
         val result = CompletableFuture<ConditionalWrite>()
         val status = RolloutStatus(1, "v2", "v1", phase, 0, "router")
